Module: an answer that went astray no longer ejects an endpoint that goes on answering

About one answer in thirty never came, evenly over endpoints, connections and idle times. Each loss held its place under the endpoint's limit until its time was up, cut that limit, and with the limit at 1 made the endpoint look silent: two or three of six were ejected at any time, and up to 40% of requests were refused without an attempt. An attempt overtaken by a later one is now taken as lost by itself: it takes no room, cuts no limit, and a repeatable request is moved.

--- a/src/main/java/mulleinfront/Logic.java
+++ b/src/main/java/mulleinfront/Logic.java
@@ -320,7 +320,7 @@
             boolean busy = now < n.busyUntil;
             usable += busy && usable > 0 ? 0 : 1;
             // Where all are busy, a key had better wait for its owner than make the others do its cold work.
-            if (!hasRoom(n, r, usable == 1 || keyless ? 1 : SPILL_ROOM)) {
+            if (!hasRoom(n, r, now, usable == 1 || keyless ? 1 : SPILL_ROOM)) {
                 continue;
             }
             boolean wait = keyless && now >= n.connectedUntil && opening != null && opening != n;
@@ -434,8 +434,8 @@
     }
 
     /** Whether the endpoint's limit leaves room; one under 1 is the share of requests that may go there. */
-    private static boolean hasRoom(Node n, Req r, double part) {
-        int size = n.outstanding.size();
+    private boolean hasRoom(Node n, Req r, long now, double part) {
+        long size = n.outstanding.stream().filter(a -> !lost(a, now)).count();
         double room = part * n.limit;
         return room >= 1 ? size + 1 <= room : size == 0 && draw(r, n) < room;
     }
@@ -516,23 +516,33 @@
         }
         weigh(now);
         for (Node n : listed) {
-            if (silent(n, now)) {
+            boolean silent = silent(n, now);
+            if (silent) {
                 eject(n, now, false);
-                n.outstanding.stream().filter(a -> n.ejected && open.get(a.req.in.id()) == a.req)
-                        .filter(a -> mayResend(a.req, now)).forEach(this::cancel);
             }
+            n.outstanding.stream().filter(a -> silent && n.ejected || lost(a, now))
+                    .filter(a -> open.get(a.req.in.id()) == a.req && mayResend(a.req, now))
+                    .forEach(this::cancel);
         }
     }
 
     private boolean silent(Node n, long now) {
-        for (Attempt a : n.outstanding) {
-            if (!a.streaming && !a.canceled) {
-                double usual = usualLag[a.req.in.classIndex()];
-                double patience = Math.max(SILENT_LAGS * usual, SILENT_AIM * a.req.type.aimUs());
-                return now - Math.max(Math.max(a.at, n.lastAnswer), wokeAt) > patience;
-            }
-        }
-        return false;
+        return n.outstanding.stream().filter(a -> !a.streaming && !a.canceled).findFirst()
+                .filter(a -> now - Math.max(Math.max(a.at, n.lastAnswer), wokeAt) > patience(a)).isPresent();
+    }
+
+    private double patience(Attempt a) {
+        return Math.max(SILENT_LAGS * usualLag[a.req.in.classIndex()], SILENT_AIM * a.req.type.aimUs());
+    }
+
+    /** Whether its endpoint has answered what it was sent later: then it is not the endpoint that is late. */
+    private static boolean overtaken(Attempt a) {
+        return a.node.answeredAt > a.at;
+    }
+
+    /** An answer long due from an endpoint that goes on answering will not come: it takes no room there. */
+    private boolean lost(Attempt a, long now) {
+        return !a.streaming && overtaken(a) && now - Math.max(a.at, wokeAt) > patience(a);
     }
 
     // ---- requests ------------------------------------------------------------------------------------
@@ -729,12 +739,7 @@
 
     /** The earliest attempt that may have run or may yet; it binds what may follow. */
     private static Attempt bond(Req r) {
-        for (Attempt a : r.attempts) {
-            if (a.mayHaveRun()) {
-                return a;
-            }
-        }
-        return null;
+        return r.attempts.stream().filter(Attempt::mayHaveRun).findFirst().orElse(null);
     }
 
     private static boolean inGroup(Req r, Attempt bond, Node n) {
@@ -838,18 +843,17 @@
     private void learn(Attempt a, AttemptEnd end, long now) {
         Node n = a.node;
         Outcome o = end.outcome();
-        if (opening == n) {
-            opening = null;
-        }
+        opening = opening == n ? null : opening;
         if (o == Outcome.OK || o == Outcome.FAILED || o == Outcome.QUEUE_FULL) {
             n.lastAnswer = now;
+            n.answeredAt = Math.max(n.answeredAt, a.at);
             n.connectedUntil = now + settings.limits().connIdleUs();
         }
         if (o == Outcome.OK && !a.streaming) {
             learnLag(a, end.lagUs(), now, true);
         } else if ((o == Outcome.TIMED_OUT || o == Outcome.CANCELED && a.canceled)
-                && crowded(a, end.lagUs())) {
-            // A loss tells of the endpoint only after an ordinary answer's time; else of the client.
+                && crowded(a, end.lagUs()) && !overtaken(a)) {
+            // Before an ordinary answer's time a loss tells of the client, and overtaken of one answer only.
             learnLag(a, end.lagUs(), now, false);
         }
         if (n.trial == a) {
--- a/src/main/java/mulleinfront/State.java
+++ b/src/main/java/mulleinfront/State.java
@@ -33,6 +33,8 @@
         boolean everCut;
         double failShare;
         long lastAnswer;
+        /** When the latest of the attempts that were answered was sent. */
+        long answeredAt = Long.MIN_VALUE;
         long connectedUntil;
         double credit;
         long creditAt;
--- a/src/test/java/mulleinfront/LogicTest.java
+++ b/src/test/java/mulleinfront/LogicTest.java
@@ -121,6 +121,50 @@
         assertEquals(4, seen.size());
     }
 
+    @Test
+    void answersThatWentAstrayTakeNoRoomFromAnEndpointThatGoesOnAnswering() {
+        Rig rig = new Rig(Rig.UNSAFE).endpoints(1);
+        settle(rig);
+        List<String> lost = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            lost.add(rig.request(0, "k", 10_000_000));
+            assertEquals("e0", rig.at(lost.get(i)), "lost " + i);
+            assertEquals("e0", rig.serve(0, "k"), "beside it " + i);
+            rig.pass(250_000);
+            assertEquals("e0", rig.serve(0, "k"), "served " + i);
+        }
+        for (String id : lost) {
+            rig.end(id, Outcome.TIMED_OUT, 1_200_000);
+        }
+        for (int i = 0; i < 2; i++) {
+            assertEquals("e0", rig.at(rig.request(0, "k", 2_000_000)), "at once " + i);
+        }
+    }
+
+    /** Until the usual lag is what it is in these tests. */
+    private static void settle(Rig rig) {
+        for (int i = 0; i < 300; i++) {
+            rig.serve(0, "k");
+        }
+    }
+
+    @Test
+    void aRequestWhoseAnswerWentAstrayIsMovedWithinItsAim() {
+        Rig rig = new Rig(Rig.SAFE).endpoints(3);
+        settle(rig);
+        String owner = rig.serve(0, "k");
+        String id = rig.request(0, "k", 2_000_000);
+        for (int i = 0; i < 5; i++) {
+            assertEquals(owner, rig.serve(0, "k"));
+            rig.pass(40_000);
+        }
+        assertTrue(rig.log.contains("cancel " + id + " 0"), "waits on");
+        rig.end(id, Outcome.CANCELED, 300_000);
+        assertEquals(2, rig.attempts(id));
+        assertNotEquals(owner, rig.at(id));
+        assertEquals(owner, rig.serve(0, "k"));
+    }
+
     @Test
     void aFragileRequestIsResentOnlyOnProof() {
         for (Outcome outcome : Outcome.values()) {
