Proxy: on SIGTERM clients are served on their connections until SIGKILL is near

After SIGTERM each answer closed its connection and 600 ms later the proxy had ended, though it is killed and started anew only after the longest deadline plus 0.7 s (2.7 s here, ended early or not). Its clients have no other proxy: for two seconds they met refused connections. Now connections are kept, answers close them from 0.9 s before SIGKILL may come, reading ends 0.6 s before it, and what is taken late has its answer 0.1 s before it.

--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -44,6 +44,11 @@
      * connections to hosts, of which a client's request has one at most, the other.
      */
     private static final int OWN_SOCKETS = 48;
+    /** SIGKILL comes this long after the longest deadline (3 s where that is longer), and no sooner. */
+    private static final long KILL_MS = 700;
+    private static final long MOST_DEADLINE_MS = 3_000;
+    /** Whatever is open is answered this long before SIGKILL may come. */
+    private static final long KILL_MARGIN_US = 100_000;
     static final Upstream.Answer NO_BODY = new Upstream.Answer(new byte[0], null);
     /** The agent that pushes lists answers at once and at no cost, unlike discovery that is asked. */
     private static final long AGENT_AGAIN_MS = 500;
@@ -61,6 +66,7 @@
     private final ArrayDeque<Runnable> work = new ArrayDeque<>();
     private boolean working;
     private boolean rehearsing;
+    private long killAt = Long.MAX_VALUE;
     private final Maker maker;
     private Balancer balancer;
     private ScheduledFuture<?> wake;
@@ -182,10 +188,16 @@
     /** Serves to the end what clients have sent or are about to; the future is done when all has ended. */
     public Future<?> drain() {
         System.err.println("mulleinfront: told to end; finishing what is open");
-        loop.execute(() -> frontend.drain(() -> {
-            discovery.stop();
-            group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
-        }));
+        long longestMs = config.settings().classes().stream().mapToLong(RequestClass::deadlineUs).max()
+                .orElse(0) / 1000;
+        long leftMs = Math.min(longestMs, MOST_DEADLINE_MS) + KILL_MS;
+        loop.execute(() -> {
+            killAt = now() + leftMs * 1000;
+            frontend.drain(leftMs, () -> {
+                discovery.stop();
+                group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+            });
+        });
         return group.terminationFuture();
     }
 
@@ -264,7 +276,8 @@
         RequestClass type = config.settings().classes().get(classIndex);
         // Nobody waits longer than the class's own patience, so neither does a drain.
         long deadlineUs = Math.min(deadlineMs, type.deadlineUs() / 1000 + 1) * 1000;
-        long patience = deadlineUs - Math.min(MARGIN_US, deadlineUs / 4);
+        long patience = Math.min(deadlineUs - Math.min(MARGIN_US, deadlineUs / 4),
+                killAt - KILL_MARGIN_US - at);
         long budget = patience - Math.min(LAST_WORD_US, deadlineUs / 8) - (now() - at);
         if (budget <= 0) {
             client.answer(HttpResponseStatus.SERVICE_UNAVAILABLE, NO_BODY, comeBackUs());
--- a/src/main/java/mulleinfront/proxy/Frontend.java
+++ b/src/main/java/mulleinfront/proxy/Frontend.java
@@ -58,8 +58,14 @@
      */
     private static final long QUIET_MS = 2_300;
     private static final long SWEEP_MS = 100;
-    /** How long requests go on coming after SIGTERM: 0.4 s at most by the protocol, and some slack. */
-    private static final long DRAIN_MS = 600;
+    /**
+     * Clients know of no other place to go: for as long as there is time they are served where they are.
+     * New connections come for 0.4 s after SIGTERM; answers end their connection from some time before
+     * SIGKILL on, and when each client has had time for one more, nothing more is read.
+     */
+    private static final long FEWEST_DRAIN_MS = 400;
+    private static final long LEAVE_MS = 900;
+    private static final long LAST_CALL_MS = 300;
 
     private final ClientProxy proxy;
     private final EventLoop loop;
@@ -70,6 +76,7 @@
     private long held;
     private Channel server;
     private boolean draining;
+    private boolean leaving;
     private boolean deaf;
 
     Frontend(ClientProxy proxy, EventLoop loop, int mostClients) {
@@ -128,17 +135,21 @@
     }
 
     /**
-     * Serves on while requests may come, each answer the last of its connection; then stops listening and
-     * reading, closes what is idle and runs {@code done} when the last client has its answer.
+     * Serves on, from some time before the end with each answer the last of its connection; then stops
+     * listening and reading, closes what is idle and runs {@code done} when the last client has its answer.
+     *
+     * @param leftMs time until the process may be killed
      */
-    void drain(Runnable done) {
+    void drain(long leftMs, Runnable done) {
         draining = true;
+        long leaveMs = Math.max(FEWEST_DRAIN_MS, leftMs - LEAVE_MS);
+        loop.schedule(() -> leaving = true, leaveMs, TimeUnit.MILLISECONDS);
         loop.schedule(() -> {
             deaf = true;
             server.close();
             clients.forEach(c -> c.pipeline().get(Client.class).lastCall());
             clients.newCloseFuture().addListener((Future<Void> f) -> done.run());
-        }, DRAIN_MS, TimeUnit.MILLISECONDS);
+        }, leaveMs + LAST_CALL_MS, TimeUnit.MILLISECONDS);
     }
 
     /** One connection of the application. */
@@ -327,7 +338,7 @@
                 out.headers().set(HttpHeaderNames.RETRY_AFTER,
                         BigDecimal.valueOf(retryAfterUs, 6).stripTrailingZeros().toPlainString());
             }
-            boolean last = !keepAlive || draining && ahead.isEmpty();
+            boolean last = !keepAlive || leaving && ahead.isEmpty();
             if (last) {
                 out.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
--- a/src/test/java/mulleinfront/proxy/ProxyTest.java
+++ b/src/test/java/mulleinfront/proxy/ProxyTest.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
 import mulleinfront.Balancer.AttemptEnd;
 import mulleinfront.Balancer.Outcome;
 import mulleinfront.Balancer.Request;
@@ -59,6 +60,35 @@
         assertEquals("0.25", answer.header("retry-after"));
     }
 
+    @Test
+    void aClientIsServedOnItsConnectionAfterTheDrainBegan() throws Exception {
+        // Guards the seconds until SIGKILL: a client that is sent away finds nobody else to ask.
+        Server host = host(s -> s.served("x"));
+        start("", Peers.host("s", host.address(), "in_service"));
+        module.onRequest = r -> module.actions.send(r.id(), "s", 0);
+        Client client = client();
+        assertEquals(200, client.unsafe("before", 20_000).read().status());
+        proxy.drain();
+        for (int i = 0; i < 3; i++) {
+            Message answer = client.unsafe("after" + i, 20_000).read();
+            assertEquals(200, answer.status());
+            assertEquals(null, answer.header("connection"), "sent away");
+        }
+    }
+
+    @Test
+    void whatComesInADrainIsAnsweredBeforeSigkill() throws Exception {
+        start("", Peers.host("s", "127.0.0.1:1", "in_service"));
+        AtomicLong budget = new AtomicLong();
+        module.onRequest = r -> {
+            budget.set(r.budgetUs());
+            module.actions.refuse(r.id(), 0);
+        };
+        proxy.drain();
+        assertEquals(503, client().unsafe("id1", 20_000).read().status());
+        assertTrue(budget.get() < 3_600_000, "may be open at SIGKILL: " + budget);
+    }
+
     @Test
     void aTimeOutCoversConnecting() throws Exception {
         // Guards against an attempt that hangs where no connection ever comes up: it never ran.
