--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -12,6 +12,7 @@
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
+import java.net.BindException;
 import java.util.ArrayDeque;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -50,6 +51,9 @@
     /** Whatever is open is answered this long before SIGKILL may come. */
     private static final long KILL_MARGIN_US = 100_000;
     static final Upstream.Answer NO_BODY = new Upstream.Answer(new byte[0], null);
+    /** How often a bind is tried again while the address is still in use, and the wait between. */
+    private static final int BIND_AGAIN = 40;
+    private static final long BIND_AGAIN_MS = 50;
     /** The agent that pushes lists answers at once and at no cost, unlike discovery that is asked. */
     private static final long AGENT_AGAIN_MS = 500;
 
@@ -167,6 +171,11 @@
 
     private void listen() throws Exception {
         ChannelFuture bound = loop.submit(() -> frontend.listen(config.listen())).get().await();
+        // The address is ours alone, but what held it last may be a moment in going.
+        for (int i = 0; i < BIND_AGAIN && bound.cause() instanceof BindException; i++) {
+            Thread.sleep(BIND_AGAIN_MS);
+            bound = loop.submit(() -> frontend.bind(config.listen())).get().await();
+        }
         if (!bound.isSuccess()) {
             throw new IOException("can't listen on " + NetUtil.toSocketAddressString(config.listen()) + ": "
                     + bound.cause().getMessage());
--- a/src/main/java/mulleinfront/proxy/Frontend.java
+++ b/src/main/java/mulleinfront/proxy/Frontend.java
@@ -87,6 +87,11 @@
     }
 
     ChannelFuture listen(InetSocketAddress address) {
+        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        return bind(address);
+    }
+
+    ChannelFuture bind(InetSocketAddress address) {
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.ALLOCATOR, Upstream.BUFFERS)
                 .option(ChannelOption.SO_BACKLOG, 1024)
@@ -103,7 +108,6 @@
                     }
                 }).bind(address);
         server = bound.channel();
-        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         return bound;
     }
 
--- a/src/test/java/mulleinfront/proxy/ProxyTest.java
+++ b/src/test/java/mulleinfront/proxy/ProxyTest.java
@@ -89,6 +89,30 @@
         assertTrue(budget.get() < 3_600_000, "may be open at SIGKILL: " + budget);
     }
 
+    @Test
+    void anAddressStillInUseIsWaitedFor() throws Exception {
+        discovery = keep(new Peers.Discovery());
+        ServerSocket last = keep(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
+        Config config = Config.parse(Peers.config(last.getLocalPort(), discovery.server.address(), "",
+                Peers.list(1, true, Peers.host("s", "127.0.0.1:1", "in_service")))
+                .getBytes(StandardCharsets.UTF_8));
+        Thread going = new Thread(() -> {
+            try {
+                Thread.sleep(300);
+                last.close();
+            } catch (Exception e) {
+                throw new AssertionError(e);
+            }
+        });
+        proxy = ClientProxy.start(config, (settings, seed, now, actions) -> {
+            module.actions = actions;
+            going.start();
+            return module;
+        });
+        module.onRequest = r -> module.actions.refuse(r.id(), 0);
+        assertEquals(503, client().unsafe("id1", 20_000).read().status());
+    }
+
     @Test
     void aTimeOutCoversConnecting() throws Exception {
         // Guards against an attempt that hangs where no connection ever comes up: it never ran.
