Module: a cold endpoint may take 1.5 times its least part of sends

Counted in each proxy: of the endpoints that a refused request could not go to, most were cold and out of credit (28,432 of a window's 89,800; no room on warm ones 14,375), 36 of 60 being cold. The 24 warm ones then choked: 999 served in 2 s fell to 479, and 10 of them were ejected as silent. In the test, 14 instances with 100 requests each gave 36 cold endpoints 272 requests where their least part was 369: credit waits for a request that comes by, and each instance meets each endpoint seldom.

At fault: Logic.coldAdmits, the credit earned by each send.

--- a/src/main/java/mulleinfront/Logic.java
+++ b/src/main/java/mulleinfront/Logic.java
@@ -77,6 +77,12 @@
     private static final double BOUND = 1.25;
     /** Time over which what is asked for is counted, microseconds: long, since many see little. */
     private static final double ASKED_US = 30_000_000;
+    /**
+     * A cold endpoint may take this multiple of its part of all sends. The part is by the least capacity the
+     * contract promises, and an instance that meets it seldom lets a quarter of it go by: where most of a
+     * fleet is cold, one part crowds the rest. Several times its capacity would push it over.
+     */
+    private static final double COLD_SHARE = 1.5;
     /** Sends to a cold endpoint that may be saved up. */
     private static final double MOST_CREDIT = 2;
     /** Usable owners among which a request may spill: a key stays warm on few endpoints, not on all. */
@@ -388,16 +394,17 @@
     }
 
     /**
-     * A cold endpoint takes no more than its credit: its part, by ramped capacity, of what this instance
-     * sends to all, from a random start below one. So however many instances there are and however little
-     * each of them sends, their sum is the endpoint's part, from its first moment on.
+     * A cold endpoint takes no more than its credit: {@code COLD_SHARE} of its part, by ramped capacity, of
+     * what this instance sends to all, from a random start below one. So however many instances there are
+     * and however little each of them sends, their sum is bound alike, from its first moment on.
      */
     private boolean coldAdmits(Node n, long now) {
         if (!n.cold) {
             return true;
         }
         double own = size(n) * ramp(n, now);
-        n.credit = Math.min(MOST_CREDIT, n.credit + own / Math.max(capacity, own) * (sends - n.creditAt));
+        double part = own / Math.max(capacity, own);
+        n.credit = Math.min(MOST_CREDIT, n.credit + COLD_SHARE * part * (sends - n.creditAt));
         n.creditAt = sends;
         return n.credit >= 1;
     }
