Module: an instance is one of many from 10 on, so 14 give way where all crowd an endpoint

Fourteen of those are crowding for three or four cores, which then slow down.

At fault: Logic.MANY = 16, which keeps the cut from what is out (learnLag), pooled caution and the shedding from a fleet of 14.

--- a/src/main/java/mulleinfront/Logic.java
+++ b/src/main/java/mulleinfront/Logic.java
@@ -53,8 +53,11 @@
     private static final double CUT = 0.85;
     /** The cut where there was no answer at all in time: many instances with one attempt each are many. */
     private static final double LOSS_CUT = 0.6;
-    /** Instances above which each pools what it learns, and probes: a server bears about as many at once. */
-    private static final int MANY = 16;
+    /**
+     * Instances above which each pools what it learns, probes, and cuts a limit from what it has out: each
+     * may always have one attempt out, and with as many as this at once three or four cores are crowded.
+     */
+    private static final int MANY = 10;
     /** Share of requests placed with caution, for each part of strain; half where instances are few. */
     private static final double CAUTION = 10;
     /** Part of endpoints late from which it is the fleet's trouble, and how fast the whole cut is reached. */
--- a/src/test/java/mulleinfront/FleetTest.java
+++ b/src/test/java/mulleinfront/FleetTest.java
@@ -72,6 +72,24 @@
         assertTrue(toCold > 0.9 * part && toCold < 1.5 * part, toCold + " to the cold, their part is " + part);
     }
 
+    /** Of a hundred instances, how many send to an endpoint that lost the one attempt they had out there. */
+    private static int sendAgainAfterOneLoss(int instances) {
+        int sent = 0;
+        for (int i = 0; i < 100; i++) {
+            Rig rig = new Rig(Rig.oneOf(instances, Rig.SAFE), i).endpoints(1);
+            collapse(rig, 1);
+            sent += rig.at(rig.request(0, "next" + i, 2_000_000)) == null ? 0 : 1;
+        }
+        return sent;
+    }
+
+    @Test
+    void fourteenInstancesWithOneAttemptEachGiveWayAfterALoss() {
+        assertEquals(100, sendAgainAfterOneLoss(6));
+        int sent = sendAgainAfterOneLoss(14);
+        assertTrue(sent > 40 && sent < 80, "sent at once: " + sent);
+    }
+
     @Test
     void aColdEndpointThatWasEjectedGetsNoTrialBeyondItsCredit() {
         int sent = 0;
--- a/src/test/java/mulleinfront/Rig.java
+++ b/src/test/java/mulleinfront/Rig.java
@@ -48,6 +48,10 @@
         return settings(500, mayProbe, false, classes);
     }
 
+    static Settings oneOf(int instances, RequestClass... classes) {
+        return settings(instances, false, false, classes);
+    }
+
     private static Settings settings(int instances, boolean mayProbe, boolean subscribe, RequestClass... classes) {
         return new Settings(List.of(classes), List.of(), 0.2, instances, 0, subscribe, false,
                 new Limits(3, true, mayProbe, 1_000_000, 10_000_000), CONTRACT);
