Tests: bad lists, a server named twice, and asking discovery again spread out over a fleet

The issue asks that these are as before and tested. Each test was seen to fail: without the jitter all 14 ask at one time; with the first of two namings kept, a draining endpoint is sent to; with hosts dropped by a failed call, the next request is not served.

--- a/src/test/java/mulleinfront/FleetTest.java
+++ b/src/test/java/mulleinfront/FleetTest.java
@@ -305,4 +305,52 @@
         }
         assertNotEquals(0, rig.sends.size());
     }
+
+    @Test
+    void afterACallThatFailedForAllTheyAskAgainSpreadOutAndServeByTheListHeld() {
+        Set<Long> times = new HashSet<>();
+        long first = Long.MAX_VALUE;
+        long last = 0;
+        for (int i = 0; i < 14; i++) {
+            Rig rig = new Rig(Rig.settings(true, Rig.SAFE), i).endpoints(3);
+            for (int k = 0; k < 4; k++) {
+                rig.balancer.onDiscoveryFailed(rig.now);
+                assertTrue(rig.at(rig.request(0, "k" + k, 1_000_000)) != null, "the list held is lost");
+                rig.end("r" + k, Outcome.OK, 0);
+                int before = rig.subscribes;
+                long failedAt = rig.now;
+                while (rig.subscribes == before) {
+                    rig.pass(5_000);
+                }
+                if (k == 3) {
+                    times.add(rig.now - failedAt);
+                    first = Math.min(first, rig.now - failedAt);
+                    last = Math.max(last, rig.now - failedAt);
+                }
+            }
+        }
+        assertTrue(times.size() > 9 && last - first > 1_000_000, "in step: " + times);
+        // Backoff ends below what counts as told: the next call still comes in time to be answered.
+        assertTrue(last <= Rig.CONTRACT.askWithinUs() / 2, "asked again after " + last);
+    }
+
+    @Test
+    void aListThatNamesAnEndpointTwiceHoldsItOnceAsNamedLast() {
+        Rig rig = new Rig(Rig.SAFE);
+        Endpoint draining = new Endpoint("e0", 0, 0, 0, Availability.DRAINING, 1, 0);
+        rig.balancer.onEndpoints(rig.now, Source.FULL, List.of(Rig.ready(0), Rig.ready(1), draining));
+        for (int i = 0; i < 50; i++) {
+            assertEquals("e1", rig.serve(0, "k" + i));
+        }
+        rig.balancer.onEndpoints(rig.now, Source.FULL, List.of(draining, Rig.ready(0), Rig.ready(1)));
+        Set<String> owners = new HashSet<>();
+        for (int i = 0; i < 50; i++) {
+            owners.add(rig.serve(0, "k" + i));
+        }
+        assertEquals(Set.of("e0", "e1"), owners);
+        rig.balancer.onEndpoints(rig.now, Source.FULL, List.of(Rig.ready(1)));
+        for (int i = 0; i < 50; i++) {
+            assertEquals("e1", rig.serve(0, "k" + i));
+        }
+    }
 }
--- a/src/test/java/mulleinfront/proxy/DiscoveryTest.java
+++ b/src/test/java/mulleinfront/proxy/DiscoveryTest.java
@@ -116,4 +116,28 @@
         Discovery.push(discovery.asked(), Peers.list(9, true));
         assertEquals("FULL []", Peers.next(module.lists, "the list after moving back"));
     }
+
+    @Test
+    void badListsAreFailedCallsAndTheListHeldStays() throws Exception {
+        Server server = host(s -> s.served("x"));
+        start("", Peers.host("s", server.address(), "in_service"));
+        module.onRequest = r -> {
+            module.actions.subscribe();
+            module.actions.send(r.id(), "s", 0);
+        };
+        String host = Peers.host("s", server.address(), "in_service");
+        int ids = 0;
+        for (String bad : new String[] {"nonsense", "[]", "{\"version\":9}", "{\"full\":true,\"servers\":[]}",
+            Peers.list(9, true, host).replace("in_service", "asleep"), Peers.list(9, true, host, "7"),
+            Peers.list(9, true, host).substring(0, 60)}) {
+            Seen watch = discovery.asked();
+            Discovery.push(watch, bad);
+            assertEquals("failed", Peers.next(module.lists, bad));
+            watch.awaitEnd();
+            assertEquals(200, client().unsafe("id" + ids++, 20_000).read().status(), bad);
+        }
+        Discovery.push(discovery.asked(), Peers.list(9, true, host, host));
+        assertEquals("FULL [s 1 READY, s 1 READY]", Peers.next(module.lists, "a host named twice"));
+        assertEquals(200, client().unsafe("last", 20_000).read().status());
+    }
 }
