Discovery: lists are cut by their braces, and one that never ends is silence

A watch was framed by LineBasedFrameDecoder and each line parsed as one list, so the first line of an indented one ("{") was a bad list and the watch failed; the next call failed in the same way, for ever, and the list held grew old. Seen in DiscoveryTest without the mend: expected "FULL [s 1 READY]" but was "failed". Two lists in one line failed likewise ("text after the list").

The read timeout stood in front of the decoders, so any byte put silence off: of a list that comes a little at a time and has no end nothing was heard for ever (without the mend: "never came: the silence", 30 s).

Now JsonObjectDecoder cuts the lists and the timeout stands behind it: what counts is a whole list, or blank text between two, which is what a heartbeat is.

--- a/src/main/java/mulleinfront/proxy/Discovery.java
+++ b/src/main/java/mulleinfront/proxy/Discovery.java
@@ -12,13 +12,13 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.LineBasedFrameDecoder;
 import io.netty.handler.codec.MessageToMessageDecoder;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.json.JsonObjectDecoder;
 import io.netty.handler.timeout.ReadTimeoutHandler;
 import io.netty.util.NetUtil;
 import java.io.IOException;
@@ -46,7 +46,7 @@
     /** News counts as told 4 s after a move: within that time a silent new address is asked again. */
     private static final long MOVED_SILENCE_MS = 1_800;
     private static final int CONNECT_MS = 1_000;
-    private static final int LONGEST_LINE = 4 * 1024 * 1024;
+    private static final int LONGEST_LIST = 4 * 1024 * 1024;
 
     /** Told of lists and of watches that failed. */
     interface Listener {
@@ -176,9 +176,8 @@
                 @Override
                 protected void initChannel(SocketChannel ch) {
                     channel = ch;
-                    ch.pipeline().addLast(new ReadTimeoutHandler(patienceMs, TimeUnit.MILLISECONDS),
-                            new HttpResponseDecoder(), new Body(), new LineBasedFrameDecoder(LONGEST_LINE),
-                            Watch.this);
+                    ch.pipeline().addLast(new HttpResponseDecoder(), new Body(), new Lists(),
+                            new ReadTimeoutHandler(patienceMs, TimeUnit.MILLISECONDS), Watch.this);
                 }
             };
         }
@@ -191,9 +190,9 @@
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf line) throws IOException {
-            if (watch == this && line.isReadable()) {
-                Listing listing = Listing.parse(ByteBufUtil.getBytes(line));
+        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf list) throws IOException {
+            if (watch == this && list.isReadable()) {
+                Listing listing = Listing.parse(ByteBufUtil.getBytes(list));
                 if (!heard) {
                     heard = true;
                     ctx.pipeline().replace(ReadTimeoutHandler.class, null,
@@ -208,7 +207,7 @@
             fail(new IOException("it ended"));
         }
 
-        /** A bad line, a refusal, silence or a break: the call has failed, and nothing else has. */
+        /** A bad list, a refusal, silence or a break: the call has failed, and nothing else has. */
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             fail(cause);
@@ -228,6 +227,25 @@
         }
     }
 
+    /**
+     * Cuts what comes into lists, by their braces: a list may be indented over many lines. It hands on an
+     * empty buffer whenever no list is half read, which is what an empty line is for; a list that comes a
+     * little at a time and does not get to its end is silence like any other.
+     */
+    private static final class Lists extends JsonObjectDecoder {
+        Lists() {
+            super(LONGEST_LIST);
+        }
+
+        @Override
+        protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
+            super.decode(ctx, in, out);
+            if (!in.isReadable()) {
+                out.add(Unpooled.EMPTY_BUFFER);
+            }
+        }
+    }
+
     /** Hands on what a watch's answer holds; any answer but 200, or its end, is the end of the watch. */
     private static final class Body extends MessageToMessageDecoder<HttpObject> {
         Body() {
--- a/src/test/java/mulleinfront/proxy/DiscoveryTest.java
+++ b/src/test/java/mulleinfront/proxy/DiscoveryTest.java
@@ -1,9 +1,12 @@
 package mulleinfront.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import mulleinfront.proxy.Peers.Client;
 import mulleinfront.proxy.Peers.Discovery;
 import mulleinfront.proxy.Peers.Seen;
@@ -140,4 +143,64 @@
         assertEquals("FULL [s 1 READY, s 1 READY]", Peers.next(module.lists, "a host named twice"));
         assertEquals(200, client().unsafe("last", 20_000).read().status());
     }
+
+    private static String indented(String list) {
+        return list.replace("{", "{\n  ").replace(",", ",\n  ").replace("[", "[\n ").replace("}", "\n}");
+    }
+
+    @Test
+    void aListMayComeIndentedOrBesideAnotherOrCutAtAnyByte() throws Exception {
+        start("", Peers.host("s", "127.0.0.1:1", "in_service"));
+        Seen watch = discovery.asked();
+        String braces = Peers.host("t}{\\\"]", "127.0.0.1:2", "in_service");
+        Discovery.push(watch, indented(Peers.list(2, true, Peers.host("s", "127.0.0.1:1", "in_service"))));
+        assertEquals("FULL [s 1 READY]", Peers.next(module.lists, "a list over many lines"));
+        Discovery.push(watch, Peers.list(3, false, braces) + "  "
+                + indented(Peers.list(4, false, Peers.host("s", "127.0.0.1:1", "terminating"))));
+        assertEquals("DELTA [t}{\"] 1 READY]", Peers.next(module.lists, "the first of two in one line"));
+        assertEquals("DELTA [s 1 DRAINING]", Peers.next(module.lists, "the second"));
+        for (char c : (Peers.list(5, true, braces).replace(",", ",\n ") + "\n").toCharArray()) {
+            watch.write("1\r\n" + c + "\r\n");
+        }
+        assertEquals("FULL [t}{\"] 1 READY]", Peers.next(module.lists, "one that came byte by byte"));
+        watch.reset();
+        assertEquals("failed", Peers.next(module.lists, "the break, and no failure before"));
+    }
+
+    @Test
+    void aListThatComesALittleAtATimeAndHasNoEndIsSilence() throws Exception {
+        start("", Peers.host("s", "127.0.0.1:1", "in_service"));
+        Seen watch = discovery.asked();
+        watch.write("1\r\n{\r\n");
+        Thread drip = new Thread(() -> {
+            while (!watch.ended().isDone()) {
+                watch.write("1\r\n \r\n");
+                try {
+                    watch.ended().get(200, TimeUnit.MILLISECONDS);
+                } catch (TimeoutException goOn) {
+                    continue;
+                } catch (Exception e) {
+                    throw new AssertionError(e);
+                }
+            }
+        });
+        drip.setDaemon(true);
+        drip.start();
+        assertEquals("failed", Peers.next(module.lists, "the silence"));
+        watch.awaitEnd();
+        drip.join();
+    }
+
+    @Test
+    void emptyLinesKeepAWatchThatHasNothingToTell() throws Exception {
+        // Longer than silence is borne; the list that comes in the end comes on the same watch.
+        start("", Peers.host("s", "127.0.0.1:1", "in_service"));
+        Seen watch = discovery.asked();
+        for (int i = 0; i < 12; i++) {
+            assertNull(module.lists.poll(500, TimeUnit.MILLISECONDS));
+            Discovery.push(watch, "");
+        }
+        Discovery.push(watch, Peers.list(2, true));
+        assertEquals("FULL []", Peers.next(module.lists, "the list"));
+    }
 }
