Shutdown: what is open at SIGTERM is answered before SIGKILL, whatever its deadline

Found by reading, its evidence the test. SIGKILL comes 3.7 s after SIGTERM at the latest deadline that counts. ClientProxy.take bounds a request's guard by that time only for what comes after SIGTERM (killAt is infinite before), so one taken earlier with more than 3.6 s left, such as a class of 4, 8 or 20 s on a host that hangs, was still open when SIGKILL came: lost. Seen in ProxyTest without the mend, a deadline of 20 s: answered after 19,973 ms. Not the module's: it may rightly wait; the last word is the guard's, as everywhere.

drain() now moves the guards of what is open to 0.1 s before SIGKILL. It also counts once if told twice: told again after the end it threw RejectedExecutionException out of the shutdown thread (seen in the same test).

--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -19,6 +19,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.Collectors;
 import mulleinfront.Balancer;
 import mulleinfront.Balancer.AttemptEnd;
@@ -70,6 +71,7 @@
     private final ArrayDeque<Runnable> work = new ArrayDeque<>();
     private boolean working;
     private boolean rehearsing;
+    private final AtomicBoolean told = new AtomicBoolean();
     private long killAt = Long.MAX_VALUE;
     private final Maker maker;
     private Balancer balancer;
@@ -113,6 +115,8 @@
         private final RequestClass type;
         private final Call call;
         private final long endAt;
+        /** When it is answered whatever the module does. */
+        private long guardAt = Long.MAX_VALUE;
         private ScheduledFuture<?> guard;
         private Upstream.Attempt out;
         private int outNumber;
@@ -194,14 +198,19 @@
         perform();
     }
 
-    /** Serves to the end what clients have sent or are about to; the future is done when all has ended. */
+    /** Serves to the end what clients have sent or are about to; being told twice is once. The future is done when all has ended. */
     public Future<?> drain() {
+        if (!told.compareAndSet(false, true)) {
+            return group.terminationFuture();
+        }
         System.err.println("mulleinfront: told to end; finishing what is open");
         long longestMs = config.settings().classes().stream().mapToLong(RequestClass::deadlineUs).max()
                 .orElse(0) / 1000;
         long leftMs = Math.min(longestMs, MOST_DEADLINE_MS) + KILL_MS;
         loop.execute(() -> {
             killAt = now() + leftMs * 1000;
+            // What is open may have longer than that, and SIGKILL would find it unanswered.
+            open.values().forEach(x -> guard(x, killAt - KILL_MARGIN_US));
             frontend.drain(leftMs, () -> {
                 discovery.stop();
                 group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
@@ -297,7 +306,7 @@
                 Math.max(0, Framing.number(h.get("X-Cost-Hint"))), tenant, "1".equals(h.get("X-Retry")));
         Exchange x = new Exchange(client, request, type, Call.of(in, body), now() + budget);
         open.put(id, x);
-        x.guard = loop.schedule(() -> timeUp(x), at + patience - now(), TimeUnit.MICROSECONDS);
+        guard(x, at + patience);
         client.opened(x);
         run(() -> balancer.onRequest(now(), x.request));
     }
@@ -332,6 +341,17 @@
         tellGone(x);
     }
 
+    /** Sets the time at which a request is answered whatever the module does, unless that is sooner already. */
+    private void guard(Exchange x, long atUs) {
+        if (!x.answered && atUs < x.guardAt) {
+            if (x.guard != null) {
+                x.guard.cancel(false);
+            }
+            x.guardAt = atUs;
+            x.guard = loop.schedule(() -> timeUp(x), atUs - now(), TimeUnit.MICROSECONDS);
+        }
+    }
+
     /** Whatever the module does, the client has an answer in time, and a refusal only if that is true. */
     private void timeUp(Exchange x) {
         if (!x.answered) {
--- a/src/test/java/mulleinfront/proxy/ProxyTest.java
+++ b/src/test/java/mulleinfront/proxy/ProxyTest.java
@@ -89,6 +89,30 @@
         assertTrue(budget.get() < 3_600_000, "may be open at SIGKILL: " + budget);
     }
 
+    @Test
+    void whatIsOpenWhenADrainBeginsIsAnsweredBeforeSigkill() throws Exception {
+        // Guards classes whose deadline is longer than the time until SIGKILL: 20 s here, against 3.7 s.
+        Server host = host(s -> { });
+        start("", Peers.host("s", host.address(), "in_service"));
+        BlockingQueue<String> taken = new LinkedBlockingQueue<>();
+        module.onRequest = r -> {
+            if (r.id().equals("out")) {
+                module.actions.send(r.id(), "s", 0);
+            }
+            taken.add(r.id());
+        };
+        Client held = client().unsafe("held", 20_000);
+        Client out = client().unsafe("out", 20_000);
+        Peers.next(taken, "the first request");
+        Peers.next(taken, "the second request");
+        long told = System.nanoTime();
+        proxy.drain();
+        assertEquals(503, held.read().status(), "never sent on");
+        assertEquals(504, out.read().status(), "may have run");
+        long tookMs = (System.nanoTime() - told) / 1_000_000;
+        assertTrue(tookMs < 15_000, "SIGKILL was long over: " + tookMs);
+    }
+
     @Test
     void anAddressStillInUseIsWaitedFor() throws Exception {
         discovery = keep(new Peers.Discovery());
