Shutdown: SIGTERM is a drain from the moment before the client proxy listens

Found by reading: serve() opened the listener and only then registered the shutdown hook, so a SIGTERM between the two ended the process at once, with whoever had connected by then unanswered. The hook now stands before the start; it finds no client proxy and ends at once until just before the bind, and drains from there on. A start that fails marks itself as told, so its end stays one plain line (ServeTest, a port in use).

The moment is some microseconds and no signal can be forced into it from outside; ProxyTest begins the drain inside it, which the start could not be asked for before, and a request on the listener opened after it is served. Two signals are one drain (as before: the JVM runs its hooks once).

--- a/src/main/java/mulleinfront/Main.java
+++ b/src/main/java/mulleinfront/Main.java
@@ -47,17 +47,21 @@
     }
 
     /**
-     * Returns once it serves. SIGTERM lets it finish what it has taken before the process ends; SIGHUP makes
-     * it read its configuration again, also one that comes before it is ready.
+     * Returns once it serves. SIGTERM lets it finish what it has taken before the process ends, from the moment
+     * before it listens; SIGHUP makes it read its configuration again, also one that comes before it is ready.
      */
     private static void serve() throws Exception {
         logPlainly();
         String file = System.getenv("NODE_CONFIG");
         CompletableFuture<ClientProxy> started = new CompletableFuture<>();
         Signal.handle(new Signal("HUP"), hup -> started.thenAccept(proxy -> reload(proxy, file)));
-        ClientProxy proxy = ClientProxy.start(Config.load(file));
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> proxy.drain().awaitUninterruptibly()));
-        started.complete(proxy);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            ClientProxy proxy = started.getNow(null);
+            if (proxy != null) {
+                proxy.drain().awaitUninterruptibly();
+            }
+        }));
+        ClientProxy.start(Config.load(file), started::complete);
     }
 
     /**
@@ -67,7 +71,7 @@
     private static void rehearse() throws Exception {
         logPlainly();
         try (InputStream sample = Main.class.getResourceAsStream("/rehearsal.json")) {
-            ClientProxy proxy = ClientProxy.start(Config.parse(sample.readAllBytes()));
+            ClientProxy proxy = ClientProxy.start(Config.parse(sample.readAllBytes()), starting -> { });
             try (Socket client = new Socket(InetAddress.getLoopbackAddress(), proxy.port())) {
                 client.getOutputStream().write(("GET /api HTTP/1.1\r\nHost: h\r\nX-Request-Id: a\r\n"
                         + "X-Class: sample\r\nX-Deadline-Ms: 100\r\nConnection: close\r\n\r\n")
--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -20,6 +20,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import mulleinfront.Balancer;
 import mulleinfront.Balancer.AttemptEnd;
@@ -133,11 +134,15 @@
         }
     }
 
-    /** Starts to serve; returns once it listens. */
-    public static ClientProxy start(Config config) throws Exception {
+    /**
+     * Starts to serve; returns once it listens.
+     *
+     * @param listening told of the client proxy before it listens: from then on an end must be a drain
+     */
+    public static ClientProxy start(Config config, Consumer<ClientProxy> listening) throws Exception {
         Rehearsal.decide(config.settings());
         rehearse(config);
-        return start(config, Balancer::create);
+        return start(config, Balancer::create, listening);
     }
 
     /** Is its own host for a moment, and not ready; ends before the real one begins. */
@@ -158,16 +163,18 @@
         }
     }
 
-    static ClientProxy start(Config config, Maker maker) throws Exception {
+    static ClientProxy start(Config config, Maker maker, Consumer<ClientProxy> listening) throws Exception {
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        ClientProxy proxy = new ClientProxy(config, maker, group);
         try {
-            ClientProxy proxy = new ClientProxy(config, maker, group);
             proxy.loop.submit(proxy::begin).get();
+            listening.accept(proxy);
             proxy.listen();
             System.err.println("mulleinfront: listening on "
                     + NetUtil.toSocketAddressString(config.listen()));
             return proxy;
         } catch (Exception e) {
+            proxy.told.set(true);
             group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
             throw e;
         }
--- a/src/main/java/mulleinfront/proxy/Frontend.java
+++ b/src/main/java/mulleinfront/proxy/Frontend.java
@@ -150,7 +150,9 @@
         loop.schedule(() -> leaving = true, leaveMs, TimeUnit.MILLISECONDS);
         loop.schedule(() -> {
             deaf = true;
-            server.close();
+            if (server != null) {
+                server.close();
+            }
             clients.forEach(c -> c.pipeline().get(Client.class).lastCall());
             clients.newCloseFuture().addListener((Future<Void> f) -> done.run());
         }, leaveMs + LAST_CALL_MS, TimeUnit.MILLISECONDS);
--- a/src/test/java/mulleinfront/proxy/DiscoveryTest.java
+++ b/src/test/java/mulleinfront/proxy/DiscoveryTest.java
@@ -51,7 +51,7 @@
         String config = Peers.config(0, discovery.server.address(), "", "null")
                 .replace("subscribe", "automatic");
         proxy = ClientProxy.start(Config.parse(config.getBytes(StandardCharsets.UTF_8)),
-                (settings, seed, now, actions) -> module);
+                (settings, seed, now, actions) -> module, starting -> { });
         Seen watch = discovery.asked();
         assertTrue(watch.message().first().startsWith("GET /api/targets?watch=1 "), watch.message().first());
         watch.reset();
--- a/src/test/java/mulleinfront/proxy/ProxyRig.java
+++ b/src/test/java/mulleinfront/proxy/ProxyRig.java
@@ -80,6 +80,10 @@
     }
 
     void start(String limits, String... hosts) throws Exception {
+        start(starting -> { }, limits, hosts);
+    }
+
+    void start(Consumer<ClientProxy> listening, String limits, String... hosts) throws Exception {
         discovery = keep(new Discovery());
         String known = Peers.list(1, true, hosts);
         Config config = Config.parse(Peers.config(0, discovery.server.address(), limits, known)
@@ -88,7 +92,7 @@
             module.actions = actions;
             actions.subscribe();
             return module;
-        });
+        }, listening);
         assertTrue(Peers.next(module.lists, "the list known").startsWith("CACHED"));
     }
 
--- a/src/test/java/mulleinfront/proxy/ProxyTest.java
+++ b/src/test/java/mulleinfront/proxy/ProxyTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -17,6 +18,7 @@
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import mulleinfront.Balancer.AttemptEnd;
 import mulleinfront.Balancer.Outcome;
@@ -113,6 +115,17 @@
         assertTrue(tookMs < 15_000, "SIGKILL was long over: " + tookMs);
     }
 
+    @Test
+    void aDrainThatBeginsBeforeItListensServesAndEnds() throws Exception {
+        // Guards the moment between listening and the end of the start: who connects in it is served.
+        Server host = host(s -> s.served("x"));
+        List<Future<?>> end = new ArrayList<>();
+        start(starting -> end.add(starting.drain()), "", Peers.host("s", host.address(), "in_service"));
+        module.onRequest = r -> module.actions.send(r.id(), "s", 0);
+        assertEquals(200, client().unsafe("id1", 20_000).read().status());
+        assertTrue(end.get(0).await(Peers.PATIENCE_S, TimeUnit.SECONDS), "it ends");
+    }
+
     @Test
     void anAddressStillInUseIsWaitedFor() throws Exception {
         discovery = keep(new Peers.Discovery());
@@ -132,7 +145,7 @@
             module.actions = actions;
             going.start();
             return module;
-        });
+        }, starting -> { });
         module.onRequest = r -> module.actions.refuse(r.id(), 0);
         assertEquals(503, client().unsafe("id1", 20_000).read().status());
     }
