Pushed lists: a start waits for the agent's list; once stopped, discovery is not asked again

Found by reading. Where lists are pushed, what the agent has counts as told from the first moment of a new process, but a start listened with the list known, however old, and sent by it to servers long draining until the watch's first list came. start() now holds the listener back until then, 1 s at most, after which the list known is all there is. Seen in DiscoveryTest without it, with an agent that answers after 0.1 s: at the moment of listening [CACHED [s 1 READY]], not [CACHED [s 1 READY], FULL [s 1 DRAINING]]. Where lists are asked for a new process is held to the list it has, so nothing is waited for there.

Two crossings in Discovery beside it: a SIGHUP, or the pause after a failed call, that came after stop() opened a watch again (seen: GET /api/targets?watch=1 after the stop), and a watch made without a free descriptor was told failed on another thread than the loop's, since the bootstrap has no channel to tell it on; the watch now makes its channel itself, as Upstream does, so it also has one whenever it is given up.

--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -18,6 +18,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
@@ -58,6 +59,8 @@
     private static final long BIND_AGAIN_MS = 50;
     /** The agent that pushes lists answers at once and at no cost, unlike discovery that is asked. */
     private static final long AGENT_AGAIN_MS = 500;
+    /** What the agent has counts as told from our first moment: so long its list is waited for at a start. */
+    private static final long AGENT_FIRST_MS = 1_000;
 
     private final Config config;
     private final EventLoopGroup group;
@@ -73,6 +76,8 @@
     private boolean working;
     private boolean rehearsing;
     private final AtomicBoolean told = new AtomicBoolean();
+    /** Done when a list has come from discovery. */
+    private final CountDownLatch heard = new CountDownLatch(1);
     private long killAt = Long.MAX_VALUE;
     private final Maker maker;
     private Balancer balancer;
@@ -94,6 +99,9 @@
         this.discovery = new Discovery(config, loop, upstream, new Discovery.Listener() {
             @Override
             public void listed(Source source, List<Endpoint> endpoints) {
+                if (source != Source.CACHED) {
+                    heard.countDown();
+                }
                 run(() -> balancer.onEndpoints(now(), source, endpoints));
             }
 
@@ -168,6 +176,9 @@
         ClientProxy proxy = new ClientProxy(config, maker, group);
         try {
             proxy.loop.submit(proxy::begin).get();
+            if (!config.settings().subscribe()) {
+                proxy.heard.await(AGENT_FIRST_MS, TimeUnit.MILLISECONDS);
+            }
             listening.accept(proxy);
             proxy.listen();
             System.err.println("mulleinfront: listening on "
--- a/src/main/java/mulleinfront/proxy/Discovery.java
+++ b/src/main/java/mulleinfront/proxy/Discovery.java
@@ -4,7 +4,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -65,6 +65,7 @@
     private final Map<String, Integer> kinds = new HashMap<>();
     private long version = -1;
     private Watch watch;
+    private boolean stopped;
 
     Discovery(Config config, EventLoop loop, Upstream upstream, Listener listener) {
         this.address = config.discovery();
@@ -72,7 +73,7 @@
         this.listener = listener;
         config.zones().forEach(name -> zones.put(name, zones.size()));
         config.kinds().forEach(name -> kinds.put(name, kinds.size()));
-        this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        this.bootstrap = new Bootstrap().group(loop)
                 .option(ChannelOption.ALLOCATOR, Upstream.BUFFERS)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS);
     }
@@ -88,7 +89,7 @@
 
     /** Asks for what changed and for all changes to come, unless that is asked for already. */
     void watch() {
-        if (watch == null) {
+        if (watch == null && !stopped) {
             ask(SILENCE_MS);
         }
     }
@@ -98,8 +99,8 @@
      * asked for; until it has come the old one holds. The old watch was given up, not failed.
      */
     void move(InetSocketAddress to) {
-        if (!to.equals(address)) {
-            stop();
+        if (!to.equals(address) && !stopped) {
+            giveUp();
             address = to;
             version = -1;
             ask(MOVED_SILENCE_MS);
@@ -107,16 +108,30 @@
     }
 
     private void ask(long patienceMs) {
-        Watch asked = new Watch(patienceMs);
+        Watch asked;
+        try {
+            asked = new Watch(patienceMs);
+        } catch (ChannelException noDescriptor) {
+            // Made by the bootstrap, it would tell of this on a thread that is not the loop's.
+            listener.failed();
+            return;
+        }
         watch = asked;
-        bootstrap.clone().handler(asked.pipeline()).connect(address).addListener(f -> {
-            if (!f.isSuccess()) {
-                asked.fail(f.cause());
-            }
-        });
+        bootstrap.clone().channelFactory(() -> asked.channel).handler(asked.pipeline()).connect(address)
+                .addListener(f -> {
+                    if (!f.isSuccess()) {
+                        asked.fail(f.cause());
+                    }
+                });
     }
 
+    /** Ends the watch for good: nothing asks again. */
     void stop() {
+        stopped = true;
+        giveUp();
+    }
+
+    private void giveUp() {
         if (watch != null) {
             Watch old = watch;
             watch = null;
@@ -164,7 +179,7 @@
     /** One call. It fails once, however it ends, unless it was given up for another. */
     private final class Watch extends SimpleChannelInboundHandler<ByteBuf> {
         private final long patienceMs;
-        private Channel channel;
+        private final NioSocketChannel channel = new NioSocketChannel();
         private boolean heard;
 
         Watch(long patienceMs) {
@@ -175,7 +190,6 @@
             return new ChannelInitializer<>() {
                 @Override
                 protected void initChannel(SocketChannel ch) {
-                    channel = ch;
                     ch.pipeline().addLast(new HttpResponseDecoder(), new Body(), new Lists(),
                             new ReadTimeoutHandler(patienceMs, TimeUnit.MILLISECONDS), Watch.this);
                 }
--- a/src/test/java/mulleinfront/proxy/DiscoveryTest.java
+++ b/src/test/java/mulleinfront/proxy/DiscoveryTest.java
@@ -4,9 +4,17 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import mulleinfront.Balancer.Endpoint;
+import mulleinfront.Balancer.Source;
 import mulleinfront.proxy.Peers.Client;
 import mulleinfront.proxy.Peers.Discovery;
 import mulleinfront.proxy.Peers.Seen;
@@ -59,6 +67,26 @@
         assertEquals("FULL []", Peers.next(module.lists, "the list"));
     }
 
+    @Test
+    void whereListsArePushedTheFirstIsHeldBeforeItListens() throws Exception {
+        // Guards rule 3 at a start: what the agent has counts as told, and the list known may be old.
+        Server agent = host(s -> {
+            try {
+                Thread.sleep(100);
+            } catch (InterruptedException e) {
+                throw new AssertionError(e);
+            }
+            s.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            Discovery.push(s, Peers.list(2, true, Peers.host("s", "127.0.0.1:1", "terminating")));
+        });
+        String config = Peers.config(0, agent.address(), "", Peers.list(1, true,
+                Peers.host("s", "127.0.0.1:1", "in_service"))).replace("subscribe", "automatic");
+        List<String> before = new ArrayList<>();
+        proxy = ClientProxy.start(Config.parse(config.getBytes(StandardCharsets.UTF_8)),
+                (settings, seed, now, actions) -> module, starting -> module.lists.drainTo(before));
+        assertEquals(List.of("CACHED [s 1 READY]", "FULL [s 1 DRAINING]"), before);
+    }
+
     @Test
     void aHostThatMovesIsReachedAnewAndOneThatDrainsIsLeft() throws Exception {
         Server before = host(s -> s.served("x"));
@@ -203,4 +231,37 @@
         Discovery.push(watch, Peers.list(2, true));
         assertEquals("FULL []", Peers.next(module.lists, "the list"));
     }
+
+    @Test
+    void onceStoppedNothingAsksAgain() throws Exception {
+        // Guards the end of a drain: a SIGHUP, or the pause after a failed call, may come after it.
+        Discovery old = keep(new Discovery());
+        Discovery other = keep(new Discovery());
+        Config config = Config.parse(Peers.config(0, old.server.address(), "", "null")
+                .getBytes(StandardCharsets.UTF_8));
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        keep(() -> group.shutdownGracefully(0, 0, TimeUnit.SECONDS));
+        EventLoop loop = group.next();
+        loop.submit(() -> {
+            mulleinfront.proxy.Discovery stopped = new mulleinfront.proxy.Discovery(config, loop,
+                    new Upstream(loop, 1, 1, 1), new mulleinfront.proxy.Discovery.Listener() {
+                        @Override
+                        public void listed(Source source, List<Endpoint> endpoints) { }
+
+                        @Override
+                        public void failed() { }
+                    });
+            stopped.stop();
+            stopped.watch();
+            stopped.move(Config.parse(Peers.config(0, other.server.address(), "", "null")
+                    .getBytes(StandardCharsets.UTF_8)).discovery());
+            return null;
+        }).get();
+        // Connections are accepted in the order in which they were made: one of our own comes after any.
+        for (Discovery each : List.of(old, other)) {
+            keep(new Client(each.server.socket.getLocalPort())).write("GET /last HTTP/1.1\r\n\r\n");
+            assertEquals("GET /last HTTP/1.1", Peers.next(each.server.seen, "ours").message().first());
+            assertEquals(1, each.server.connections.size());
+        }
+    }
 }
