Pushed lists: the start goes on once the module has the agent's list, not just before

The latch was opened before the event was handed to the module, so the start could listen between the two. The latch is now opened after the event, on the loop that the list came on.

--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -99,10 +99,12 @@
         this.discovery = new Discovery(config, loop, upstream, new Discovery.Listener() {
             @Override
             public void listed(Source source, List<Endpoint> endpoints) {
-                if (source != Source.CACHED) {
-                    heard.countDown();
-                }
-                run(() -> balancer.onEndpoints(now(), source, endpoints));
+                run(() -> {
+                    balancer.onEndpoints(now(), source, endpoints);
+                    if (source != Source.CACHED) {
+                        heard.countDown();
+                    }
+                });
             }
 
             @Override
