Clients that have left: what is read behind a request is seen before the request is sent on

New term: a request whose client has left while it waited is not sent on. Reading goes on now; what comes is dropped, as it was by not reading.

The deprecated name of the option for read buffers goes with it.

--- a/src/main/java/mulleinfront/proxy/Frontend.java
+++ b/src/main/java/mulleinfront/proxy/Frontend.java
@@ -48,8 +48,13 @@
     private static final int MOST_AHEAD = 16;
     private static final int MOST_AHEAD_BYTES = Framing.MOST_BODY;
     private static final int MOST_HELD = 8 * 1024 * 1024;
-    /** One read at most, so that what is decoded after reading has been stopped stays small. */
+    /**
+     * One read at most, so that what is decoded after reading has been stopped stays small. Reads go on until
+     * there is nothing more, or others have their turn: a client that has left behind its request shows by the
+     * last of them only.
+     */
     private static final int READ_BYTES = 8 * 1024;
+    private static final int MOST_READS = 16;
     /** While reading has stopped, one read now and then tells of a client that left. */
     private static final long PEEK_MS = 200;
     /**
@@ -61,7 +66,7 @@
     /**
      * Clients know of no other place to go: for as long as there is time they are served where they are.
      * New connections come for 0.4 s after SIGTERM; answers end their connection from some time before
-     * SIGKILL on, and when each client has had time for one more, nothing more is read.
+     * SIGKILL on, and when each client has had time for one more, nothing more is taken.
      */
     private static final long FEWEST_DRAIN_MS = 400;
     private static final long LEAVE_MS = 900;
@@ -96,7 +101,9 @@
                 .option(ChannelOption.ALLOCATOR, Upstream.BUFFERS)
                 .option(ChannelOption.SO_BACKLOG, 1024)
                 .childOption(ChannelOption.ALLOCATOR, Upstream.BUFFERS)
-                .childOption(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(READ_BYTES))
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR,
+                        new FixedRecvByteBufAllocator(READ_BYTES).respectMaybeMoreData(false)
+                                .maxMessagesPerRead(MOST_READS))
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
@@ -140,7 +147,7 @@
 
     /**
      * Serves on, from some time before the end with each answer the last of its connection; then stops
-     * listening and reading, closes what is idle and runs {@code done} when the last client has its answer.
+     * listening and taking requests, closes what is idle and runs {@code done} when the last client has its answer.
      *
      * @param leftMs time until the process may be killed
      */
@@ -187,7 +194,7 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, HttpObject in) {
-            if (lost) {
+            if (lost || deaf) {
                 return;
             }
             if (in.decoderResult().isFailure()) {
@@ -227,7 +234,7 @@
 
         /** Tells a client that asks first to send its body, once it is its turn. */
         private void goAhead() {
-            if (expects && head != null && !busy) {
+            if (expects && head != null && !busy && ahead.isEmpty()) {
                 expects = false;
                 channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
                         HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
@@ -248,16 +255,28 @@
             body.readBytes(whole);
             HttpRequest request = head;
             head = null;
-            ahead.add(new Ahead(request, whole, proxy.now(), null));
-            pump();
+            wait(new Ahead(request, whole, proxy.now(), null));
         }
 
         /** The last that is read of this client: what it sent before is served, then it is told. */
         private void unreadable(HttpResponseStatus error) {
             lost = true;
             head = null;
-            ahead.add(new Ahead(null, new byte[0], 0, error));
-            pump();
+            wait(new Ahead(null, new byte[0], 0, error));
+        }
+
+        /** A request has its turn when all that is there has been read, and never if its client has left. */
+        private void wait(Ahead next) {
+            quiet.remove(this);
+            ahead.add(next);
+            readOn();
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            if (!busy && !ahead.isEmpty()) {
+                loop.execute(this::pump);
+            }
         }
 
         private void hold(int bytes) {
@@ -267,9 +286,9 @@
 
         /** Reading stops while enough waits. Only a read shows that a client left: one is made at times. */
         private void readOn() {
-            boolean enough = busy && !lost && (ahead.size() >= MOST_AHEAD
+            boolean enough = (busy || !ahead.isEmpty()) && !lost && (ahead.size() >= MOST_AHEAD
                     || aheadBytes >= MOST_AHEAD_BYTES || held >= MOST_HELD);
-            channel.config().setAutoRead(!enough && !deaf);
+            channel.config().setAutoRead(!enough);
             if (enough && !peeking) {
                 peeking = true;
                 loop.schedule(this::peek, PEEK_MS, TimeUnit.MILLISECONDS);
@@ -306,7 +325,6 @@
 
         private void handle(Ahead next) {
             busy = true;
-            quiet.remove(this);
             HttpRequest in = next.head();
             keepAlive = in != null && HttpUtil.isKeepAlive(in);
             String path = in == null ? "" : in.uri().split("\\?", 2)[0];
@@ -380,11 +398,9 @@
             }
         }
 
-        /** Nothing more is read; what is open has its answer first. */
+        /** What is open has its answer first, and reading only tells whether its client is still there. */
         private void lastCall() {
-            if (busy) {
-                readOn();
-            } else {
+            if (!busy && ahead.isEmpty()) {
                 channel.close();
             }
         }
--- a/src/test/java/mulleinfront/proxy/Peers.java
+++ b/src/test/java/mulleinfront/proxy/Peers.java
@@ -6,10 +6,13 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.BlockingQueue;
@@ -220,6 +223,52 @@
         }
     }
 
+    /** A host whose queue of connections is full, so that none comes up until {@link #hear}. */
+    static final class Deaf implements AutoCloseable {
+        private final ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        private final List<Socket> fill = new ArrayList<>();
+        private Socket last;
+
+        Deaf() throws Exception {
+            for (int i = 0; i < 8; i++) {
+                Socket s = new Socket();
+                try {
+                    s.connect(new InetSocketAddress(server.getInetAddress(), server.getLocalPort()), 1000);
+                } catch (SocketTimeoutException full) {
+                    s.close();
+                    return;
+                }
+                fill.add(s);
+            }
+            throw new AssertionError("the queue never filled");
+        }
+
+        String address() {
+            return "127.0.0.1:" + server.getLocalPort();
+        }
+
+        /** Takes the connections that fill the queue, and then the one that waited. */
+        void hear() throws Exception {
+            server.setSoTimeout((int) Peers.PATIENCE_S * 1000);
+            for (int i = 0; i <= fill.size(); i++) {
+                last = server.accept();
+            }
+        }
+
+        boolean silent() throws Exception {
+            last.setSoTimeout((int) Peers.PATIENCE_S * 1000);
+            return last.getInputStream().read() < 0;
+        }
+
+        @Override
+        public void close() throws IOException {
+            server.close();
+            for (Socket s : fill) {
+                s.close();
+            }
+        }
+    }
+
     /** Discovery: answers a watch when the test asks for it, and leaves it open for {@link #push}. */
     static final class Discovery implements AutoCloseable {
         final Server server = new Server(seen -> { });
--- a/src/test/java/mulleinfront/proxy/ProxyRig.java
+++ b/src/test/java/mulleinfront/proxy/ProxyRig.java
@@ -37,6 +37,7 @@
         final BlockingQueue<Outcome> probes = new LinkedBlockingQueue<>();
         volatile Consumer<Request> onRequest = r -> { };
         volatile Consumer<AttemptEnd> onEnd = e -> { };
+        volatile boolean cancels = true;
         volatile Actions actions;
 
         @Override
@@ -58,7 +59,9 @@
         @Override
         public void onRequestGone(long now, String requestId) {
             gone.add(requestId);
-            actions.cancel(requestId, 0);
+            if (cancels) {
+                actions.cancel(requestId, 0);
+            }
         }
 
         @Override
--- a/src/test/java/mulleinfront/proxy/ProxyTest.java
+++ b/src/test/java/mulleinfront/proxy/ProxyTest.java
@@ -7,12 +7,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.util.concurrent.Future;
-import java.io.IOException;
 import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.ServerSocket;
-import java.net.Socket;
-import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -24,6 +20,7 @@
 import mulleinfront.Balancer.Outcome;
 import mulleinfront.Balancer.Request;
 import mulleinfront.proxy.Peers.Client;
+import mulleinfront.proxy.Peers.Deaf;
 import mulleinfront.proxy.Peers.Discovery;
 import mulleinfront.proxy.Peers.Message;
 import mulleinfront.proxy.Peers.Seen;
@@ -352,50 +349,4 @@
         client().unsafe("id1", 20_000).read();
         assertEquals(Outcome.OK, Peers.next(module.probes, "the probe's end"));
     }
-
-    /** A host whose queue of connections is full, so that none comes up until {@link #hear}. */
-    private static final class Deaf implements AutoCloseable {
-        private final ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-        private final List<Socket> fill = new ArrayList<>();
-        private Socket last;
-
-        Deaf() throws Exception {
-            for (int i = 0; i < 8; i++) {
-                Socket s = new Socket();
-                try {
-                    s.connect(new InetSocketAddress(server.getInetAddress(), server.getLocalPort()), 1000);
-                } catch (SocketTimeoutException full) {
-                    s.close();
-                    return;
-                }
-                fill.add(s);
-            }
-            throw new AssertionError("the queue never filled");
-        }
-
-        String address() {
-            return "127.0.0.1:" + server.getLocalPort();
-        }
-
-        /** Takes the connections that fill the queue, and then the one that waited. */
-        void hear() throws Exception {
-            server.setSoTimeout((int) Peers.PATIENCE_S * 1000);
-            for (int i = 0; i <= fill.size(); i++) {
-                last = server.accept();
-            }
-        }
-
-        boolean silent() throws Exception {
-            last.setSoTimeout((int) Peers.PATIENCE_S * 1000);
-            return last.getInputStream().read() < 0;
-        }
-
-        @Override
-        public void close() throws IOException {
-            server.close();
-            for (Socket s : fill) {
-                s.close();
-            }
-        }
-    }
 }
