--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -218,7 +218,10 @@
         perform();
     }
 
-    /** Serves to the end what clients have sent or are about to; being told twice is once. The future is done when all has ended. */
+    /**
+     * Serves to the end what clients have sent or are about to; to be told twice is once. The future is done when
+     * all has ended.
+     */
     public Future<?> drain() {
         if (!told.compareAndSet(false, true)) {
             return group.terminationFuture();
--- a/src/main/java/mulleinfront/proxy/Frontend.java
+++ b/src/main/java/mulleinfront/proxy/Frontend.java
@@ -147,7 +147,8 @@
 
     /**
      * Serves on, from some time before the end with each answer the last of its connection; then stops
-     * listening and taking requests, closes what is idle and runs {@code done} when the last client has its answer.
+     * listening and taking requests, closes what is idle and runs {@code done} when the last client has its
+     * answer.
      *
      * @param leftMs time until the process may be killed
      */
--- a/src/test/java/mulleinfront/proxy/CrossingTest.java
+++ b/src/test/java/mulleinfront/proxy/CrossingTest.java
@@ -7,7 +7,6 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.TimeUnit;
 import mulleinfront.Balancer.AttemptEnd;
 import mulleinfront.Balancer.Outcome;
 import mulleinfront.proxy.Peers.Client;
@@ -21,25 +20,6 @@
     private static final String READY = "GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n";
     private volatile String late;
 
-    /** Makes the loop stand still at a request, until the latch is opened. */
-    private CountDownLatch stand(Client client, Runnable then) throws Exception {
-        CountDownLatch stands = new CountDownLatch(1);
-        CountDownLatch goOn = new CountDownLatch(1);
-        module.onRequest = r -> {
-            stands.countDown();
-            try {
-                assertTrue(goOn.await(Peers.PATIENCE_S, TimeUnit.SECONDS));
-            } catch (InterruptedException e) {
-                throw new AssertionError(e);
-            }
-            then.run();
-            module.actions.refuse(r.id(), 0);
-        };
-        client.unsafe("stand", 20_000);
-        assertTrue(stands.await(Peers.PATIENCE_S, TimeUnit.SECONDS));
-        return goOn;
-    }
-
     @Test
     void anAnswerThatMeetsTheCancelOfItsAttemptIsOneEnd() throws Exception {
         // The answer is there when the loop, which stood still, carries out the cancel.
--- a/src/test/java/mulleinfront/proxy/LeavingTest.java
+++ b/src/test/java/mulleinfront/proxy/LeavingTest.java
@@ -50,20 +50,9 @@
         assertEquals(200, kept.unsafe("first", 20_000).read().status());
         assertEquals(200, reset.unsafe("second", 20_000).read().status());
         host.seen.clear();
-        CountDownLatch stands = new CountDownLatch(1);
-        CountDownLatch goOn = new CountDownLatch(1);
-        module.onRequest = r -> {
-            stands.countDown();
-            try {
-                assertTrue(goOn.await(Peers.PATIENCE_S, TimeUnit.SECONDS));
-            } catch (InterruptedException e) {
-                throw new AssertionError(e);
-            }
-            module.onRequest = next -> module.actions.send(next.id(), "s", 0);
-            module.actions.refuse(r.id(), 0);
-        };
-        Client standing = client().unsafe("standing", 20_000);
-        assertTrue(stands.await(Peers.PATIENCE_S, TimeUnit.SECONDS));
+        Client standing = client();
+        CountDownLatch goOn = stand(standing, () ->
+                module.onRequest = next -> module.actions.send(next.id(), "s", 0));
         kept.unsafe("on a kept connection", 20_000).close();
         reset.unsafe("reset", 20_000).socket.setSoLinger(true, 0);
         reset.close();
--- a/src/test/java/mulleinfront/proxy/ProxyRig.java
+++ b/src/test/java/mulleinfront/proxy/ProxyRig.java
@@ -7,7 +7,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import mulleinfront.Balancer;
 import mulleinfront.Balancer.Actions;
@@ -122,6 +124,25 @@
         }
     }
 
+    /** Makes the loop stand still at a request of this client, until the latch is opened; then does this. */
+    CountDownLatch stand(Client client, Runnable then) throws Exception {
+        CountDownLatch stands = new CountDownLatch(1);
+        CountDownLatch goOn = new CountDownLatch(1);
+        module.onRequest = r -> {
+            stands.countDown();
+            try {
+                assertTrue(goOn.await(Peers.PATIENCE_S, TimeUnit.SECONDS));
+            } catch (InterruptedException e) {
+                throw new AssertionError(e);
+            }
+            then.run();
+            module.actions.refuse(r.id(), 0);
+        };
+        client.unsafe("stand", 20_000);
+        assertTrue(stands.await(Peers.PATIENCE_S, TimeUnit.SECONDS));
+        return goOn;
+    }
+
     /** One request sent once to a host with this script; returns how the attempt ended. */
     AttemptEnd outcome(Consumer<Seen> script, long timeoutUs) throws Exception {
         Server host = host(script);
