--- a/src/main/java/mulleinfront/Logic.java
+++ b/src/main/java/mulleinfront/Logic.java
@@ -1,7 +1,5 @@
 package mulleinfront;
 
-import com.dynatrace.hash4j.hashing.Hasher64;
-import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
@@ -131,8 +129,6 @@
     /** Shortest wait before discovery is asked again, microseconds; doubles, with jitter. */
     private static final long ASK_AGAIN_US = 250_000;
 
-    private static final Hasher64 HASH = Hashing.xxh3_64();
-
     // ---- state ---------------------------------------------------------------------------------------
 
     private final Settings settings;
@@ -221,7 +217,8 @@
         }
         walk++;
         for (Endpoint e : entries) {
-            Node n = nodes.computeIfAbsent(e.id(), id -> new Node(id, HASH.hashCharsToLong(id), FIRST_LIMIT));
+            Node n = nodes.computeIfAbsent(e.id(),
+                    id -> new Node(id, Ring.HASH.hashCharsToLong(id), FIRST_LIMIT));
             n.seen = walk;
             if (e.availability() != Availability.GONE) {
                 update(n, e, now);
@@ -278,9 +275,7 @@
         n.onRing = true;
         listed.add(n);
         long count = Math.max(FEWEST_POINTS, Math.min(MOST_POINTS, Math.round(POINTS * size(n))));
-        long[] points = new long[(int) count];
-        Arrays.setAll(points, k -> HASH.hashLongLongToLong(n.hash, k));
-        ring.add(n, points);
+        ring.add(n, Ring.points(n.hash, (int) count));
     }
 
     private void leave(Node n) {
@@ -457,7 +452,7 @@
 
     /** The request's lot at an endpoint: drawn once, so that waiting does not change it. */
     private static double draw(Req r, Node n) {
-        return (HASH.hashLongLongToLong(r.order * 0x9e3779b97f4a7c15L ^ r.hash, n.hash) >>> 11) * 0x1p-53;
+        return (Ring.HASH.hashLongLongToLong(r.order * 0x9e3779b97f4a7c15L ^ r.hash, n.hash) >>> 11) * 0x1p-53;
     }
 
     private void learnFailure(Node n, Outcome outcome, long now) {
@@ -570,7 +565,7 @@
         if (open.containsKey(in.id()) || in.classIndex() < 0 || in.classIndex() >= usualLag.length) {
             return;
         }
-        long hash = in.key() != null ? HASH.hashCharsToLong(in.key()) : random.nextLong();
+        long hash = in.key() != null ? Ring.HASH.hashCharsToLong(in.key()) : random.nextLong();
         RequestClass type = settings.classes().get(in.classIndex());
         // An unmarked repeat shows by its budget: less than a whole try's of late, what patience is left.
         whole[in.classIndex()] = Math.max(in.budgetUs(), whole[in.classIndex()] * WHOLE_FADE);
--- a/src/main/java/mulleinfront/Main.java
+++ b/src/main/java/mulleinfront/Main.java
@@ -1,5 +1,7 @@
 package mulleinfront;
 
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -96,6 +98,7 @@
      * for the time zone: a warning that descriptors have run out would end the thread that gives it.
      */
     private static void logPlainly() {
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         LogManager.getLogManager().reset();
         Logger.getLogger("").addHandler(new Handler() {
             @Override
--- a/src/main/java/mulleinfront/Ring.java
+++ b/src/main/java/mulleinfront/Ring.java
@@ -1,5 +1,7 @@
 package mulleinfront;
 
+import com.dynatrace.hash4j.hashing.Hasher64;
+import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -12,6 +14,8 @@
  */
 final class Ring<T> {
     private static final int SLOT_BITS = 0xffff;
+    /** What ids and keys are hashed by, everywhere. */
+    static final Hasher64 HASH = Hashing.xxh3_64();
 
     private long[] points = {};
     /** Owners by slot; null where the owner has left. */
@@ -20,6 +24,17 @@
     private final List<long[]> joiningPoints = new ArrayList<>();
     private boolean changed;
 
+    /**
+     * The points of an owner: hashes of its own hash and a running number.
+     *
+     * @param hash of the owner's id
+     */
+    static long[] points(long hash, int count) {
+        long[] points = new long[count];
+        Arrays.setAll(points, k -> HASH.hashLongLongToLong(hash, k));
+        return points;
+    }
+
     /** Adds an owner; its points count after the next {@link #merge}. */
     void add(T owner, long[] hashes) {
         changed = true;
--- a/src/main/java/mulleinfront/proxy/Call.java
+++ b/src/main/java/mulleinfront/proxy/Call.java
@@ -13,7 +13,7 @@
 import java.util.Map;
 
 /** A request as it goes on to a host: all that the client sent but what concerns its own connection. */
-record Call(String method, String uri, HttpHeaders headers, byte[] body) {
+public record Call(String method, String uri, HttpHeaders headers, byte[] body) {
     static final AsciiString DEADLINE = AsciiString.cached("x-deadline-ms");
 
     /** Hop-by-hop headers (RFC 9110, 7.6.1), and those that are written anew for each attempt. */
@@ -22,7 +22,7 @@
             HttpHeaderNames.TRAILER, HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderNames.UPGRADE,
             HttpHeaderNames.EXPECT, HttpHeaderNames.CONTENT_LENGTH, DEADLINE);
 
-    static Call of(HttpRequest in, byte[] body) {
+    public static Call of(HttpRequest in, byte[] body) {
         HttpHeaders headers = new DefaultHttpHeaders().set(in.headers());
         in.headers().getAll(HttpHeaderNames.CONNECTION).forEach(
                 names -> List.of(names.split(",")).forEach(name -> headers.remove(name.trim())));
--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -37,7 +37,7 @@
  * A client proxy on sockets: turns what happens on them into the module's events and carries out what it
  * decides. One event-loop thread owns all of it, so nothing here is locked and nothing may block.
  */
-public final class ClientProxy implements Balancer.Actions {
+public final class ClientProxy implements Balancer.Actions, Frontend.Desk {
     /** We are done this long before the client's time is up: the way back and a busy core take time. */
     private static final long MARGIN_US = 25_000;
     /** What the module is told ends this much earlier still, so that its own last word comes first. */
@@ -53,12 +53,17 @@
     private static final long MOST_DEADLINE_MS = 3_000;
     /** Whatever is open is answered this long before SIGKILL may come. */
     private static final long KILL_MARGIN_US = 100_000;
-    static final Upstream.Answer NO_BODY = new Upstream.Answer(new byte[0], null);
+    static final Upstream.Answer NO_BODY = new Upstream.Answer(new byte[0], null, null);
     /** How often a bind is tried again while the address is still in use, and the wait between. */
     private static final int BIND_AGAIN = 40;
     private static final long BIND_AGAIN_MS = 50;
     /** The agent that pushes lists answers at once and at no cost, unlike discovery that is asked. */
     private static final long AGENT_AGAIN_MS = 500;
+    /**
+     * A connection without an open request ends after this long: the protocol allows it after 2 s, and a
+     * client that says nothing or never gets to the end of a request is owed an end within 3 s.
+     */
+    private static final long QUIET_MS = 2_300;
     /** What the agent has counts as told from our first moment: so long its list is waited for at a start. */
     private static final long AGENT_FIRST_MS = 1_000;
 
@@ -68,6 +73,7 @@
     private final Clock clock = new Clock();
     private final Upstream upstream;
     private final Discovery discovery;
+    private final Frontend.Terms terms;
     private final Frontend frontend;
     private final Map<String, Integer> classes = new HashMap<>();
     private final Map<String, Exchange> open = new HashMap<>();
@@ -112,7 +118,8 @@
                 watchFailed();
             }
         });
-        this.frontend = new Frontend(this, loop, half);
+        this.terms = new Frontend.Terms(half, Framing.MOST_HEAD, Framing.MOST_BODY, QUIET_MS, QUIET_MS);
+        this.frontend = new Frontend(this, loop);
         List<RequestClass> all = config.settings().classes();
         for (int i = 0; i < all.size(); i++) {
             classes.put(all.get(i).name(), i);
@@ -255,10 +262,16 @@
         return frontend.port();
     }
 
-    long now() {
+    @Override
+    public long now() {
         return clock.now();
     }
 
+    @Override
+    public Frontend.Terms terms() {
+        return terms;
+    }
+
     boolean ready() {
         return discovery.holdsList() && !rehearsing;
     }
@@ -300,7 +313,20 @@
     // ---- clients -------------------------------------------------------------------------------------
 
     /** Takes a request that is as the protocol says, and answers for it at once if it is not. */
-    void take(Frontend.Client client, HttpRequest in, byte[] body, long at) {
+    @Override
+    public void take(Frontend.Client client, HttpRequest in, byte[] body, long at) {
+        String path = in.uri().split("\\?", 2)[0];
+        if (path.equals("/-/ready")) {
+            client.answer(ready() && !frontend.draining() ? HttpResponseStatus.OK
+                    : HttpResponseStatus.SERVICE_UNAVAILABLE);
+        } else if (!path.equals("/api") && !path.startsWith("/api/")) {
+            client.answer(HttpResponseStatus.NOT_FOUND);
+        } else {
+            call(client, in, body, at);
+        }
+    }
+
+    private void call(Frontend.Client client, HttpRequest in, byte[] body, long at) {
         HttpHeaders h = in.headers();
         String id = single(h, "X-Request-Id");
         Integer classIndex = classes.get(single(h, "X-Class"));
@@ -330,7 +356,7 @@
         Exchange x = new Exchange(client, request, type, Call.of(in, body), now() + budget);
         open.put(id, x);
         guard(x, at + patience);
-        client.opened(x);
+        client.opened(() -> gone(x));
         run(() -> balancer.onRequest(now(), x.request));
     }
 
--- a/src/main/java/mulleinfront/proxy/Framing.java
+++ b/src/main/java/mulleinfront/proxy/Framing.java
@@ -17,16 +17,21 @@
  * Where a message begins and ends, strictly by RFC 9112. The codec mends what is ambiguous and reads on; one
  * in the middle must not: what the two sides of it read differently hides a second request or a cut answer.
  */
-final class Framing {
+public final class Framing {
     static final int MOST_BODY = 64 * 1024;
-    private static final HttpDecoderConfig STRICT = new HttpDecoderConfig().setStrictLineParsing(true)
-            .setAllowDuplicateContentLengths(false);
+    /** The codec's own bound of a head. */
+    static final int MOST_HEAD = 8 * 1024;
+
+    private static HttpDecoderConfig strict(int mostHead) {
+        return new HttpDecoderConfig().setStrictLineParsing(true).setAllowDuplicateContentLengths(false)
+                .setMaxInitialLineLength(mostHead / 2).setMaxHeaderSize(mostHead);
+    }
 
     private Framing() {}
 
     static class RequestDecoder extends HttpRequestDecoder {
-        RequestDecoder() {
-            super(STRICT);
+        RequestDecoder(int mostHead) {
+            super(strict(mostHead));
         }
 
         @Override
@@ -43,7 +48,7 @@
 
     static class ResponseDecoder extends HttpResponseDecoder {
         ResponseDecoder() {
-            super(STRICT);
+            super(strict(MOST_HEAD));
         }
 
         /** Whether it holds the beginning of something that it could not yet make a message of. */
@@ -100,12 +105,12 @@
     }
 
     /** Whether a sound head states a body larger than any may be. */
-    static boolean tooLong(HttpHeaders headers) {
-        return number(headers.get(HttpHeaderNames.CONTENT_LENGTH)) > MOST_BODY;
+    static boolean tooLong(HttpHeaders headers, int most) {
+        return number(headers.get(HttpHeaderNames.CONTENT_LENGTH)) > most;
     }
 
     /** A number of digits alone; -1 if it is none: no sign, no fraction, no list, nothing that overflows. */
-    static long number(String text) {
+    public static long number(String text) {
         if (text == null || text.isEmpty() || text.length() > 18
                 || !text.chars().allMatch(c -> c >= '0' && c <= '9')) {
             return -1;
--- a/src/main/java/mulleinfront/proxy/Frontend.java
+++ b/src/main/java/mulleinfront/proxy/Frontend.java
@@ -16,11 +16,13 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -36,11 +38,33 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * What the application connects to. It reads requests, hands those for hosts to the {@link ClientProxy}
- * and writes final answers, one at a time on each connection. Nothing that a client sends, or does not send,
+ * What clients connect to. It reads requests, hands them to the {@link Desk} behind it and writes final answers, one at a time on each connection. Nothing that a client sends, or does not send,
  * may cost more than its own connection.
  */
-final class Frontend {
+public final class Frontend {
+    /** Who answers requests. All calls come on the event loop. */
+    public interface Desk {
+        /** The present time, microseconds. */
+        long now();
+
+        /** A whole request, read at {@code at}; it is to be answered once, now or later. */
+        void take(Client client, HttpRequest in, byte[] body, long at);
+
+        /** What clients may do; asked anew for each connection. */
+        Terms terms();
+    }
+
+    /**
+     * What clients may do.
+     *
+     * @param mostClients connections at once
+     * @param mostHead bytes of a head
+     * @param mostBody bytes of a body
+     * @param quietMs how long a connection may be without a request
+     * @param readMs how long a request may take to come in whole
+     */
+    public record Terms(int mostClients, int mostHead, int mostBody, long quietMs, long readMs) { }
+
     /**
      * What a client may send ahead of its answers before reading stops: requests, and bytes of bodies. All
      * clients together may send {@code MOST_HELD} bytes ahead; above that only what is not yet whole is read.
@@ -57,11 +81,6 @@
     private static final int MOST_READS = 16;
     /** While reading has stopped, one read now and then tells of a client that left. */
     private static final long PEEK_MS = 200;
-    /**
-     * A connection without an open request ends after this long: the protocol allows it after 2 s, and a
-     * client that says nothing or never gets to the end of a request is owed an end within 3 s.
-     */
-    private static final long QUIET_MS = 2_300;
     private static final long SWEEP_MS = 100;
     /**
      * Clients know of no other place to go: for as long as there is time they are served where they are.
@@ -72,31 +91,34 @@
     private static final long LEAVE_MS = 900;
     private static final long LAST_CALL_MS = 300;
 
-    private final ClientProxy proxy;
+    private final Desk desk;
     private final EventLoop loop;
     private final ChannelGroup clients;
-    private final int mostClients;
+    private Terms terms;
     /** Connections without an open request, the longest quiet first. */
     private final LinkedHashSet<Client> quiet = new LinkedHashSet<>();
+    /** Connections in the middle of a request, the longest first. */
+    private final LinkedHashSet<Client> reading = new LinkedHashSet<>();
     private long held;
     private Channel server;
     private boolean draining;
     private boolean leaving;
     private boolean deaf;
+    private int busyClients;
 
-    Frontend(ClientProxy proxy, EventLoop loop, int mostClients) {
-        this.mostClients = mostClients;
-        this.proxy = proxy;
+    public Frontend(Desk desk, EventLoop loop) {
+        this.desk = desk;
         this.loop = loop;
+        this.terms = desk.terms();
         this.clients = new DefaultChannelGroup(loop);
     }
 
-    ChannelFuture listen(InetSocketAddress address) {
+    public ChannelFuture listen(InetSocketAddress address) {
         loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         return bind(address);
     }
 
-    ChannelFuture bind(InetSocketAddress address) {
+    public ChannelFuture bind(InetSocketAddress address) {
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.ALLOCATOR, Upstream.BUFFERS)
                 .option(ChannelOption.SO_BACKLOG, 1024)
@@ -108,9 +130,10 @@
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel ch) {
+                        terms = desk.terms();
                         Client client = new Client(ch);
-                        ch.pipeline().addLast(new Framing.RequestDecoder(), new HttpResponseEncoder(),
-                                client);
+                        ch.pipeline().addLast(new Framing.RequestDecoder(terms.mostHead()),
+                                new HttpResponseEncoder(), client);
                         admit(ch, client);
                     }
                 }).bind(address);
@@ -120,7 +143,7 @@
 
     /** At the most, the longest quiet one makes room; where all have a request open, a new one must wait. */
     private void admit(SocketChannel ch, Client client) {
-        if (clients.size() >= mostClients && !quiet.isEmpty()) {
+        if (clients.size() >= terms.mostClients() && !quiet.isEmpty()) {
             Client longest = quiet.iterator().next();
             quiet.remove(longest);
             longest.channel.close();
@@ -131,17 +154,23 @@
     }
 
     private void acceptIfRoom(Channel client) {
-        client.parent().config().setAutoRead(clients.size() < mostClients || !quiet.isEmpty());
+        client.parent().config().setAutoRead(clients.size() < terms.mostClients() || !quiet.isEmpty());
     }
 
     private void sweep() {
-        long before = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(QUIET_MS);
-        for (Client c; !quiet.isEmpty() && (c = quiet.iterator().next()).quietAt - before < 0;) {
+        long now = System.nanoTime();
+        long quietFor = TimeUnit.MILLISECONDS.toNanos(terms.quietMs());
+        for (Client c; !quiet.isEmpty() && now - (c = quiet.iterator().next()).quietAt > quietFor;) {
+            c.tooLong();
+        }
+        long readFor = TimeUnit.MILLISECONDS.toNanos(terms.readMs());
+        for (Client c; !reading.isEmpty() && now - (c = reading.iterator().next()).readAt > readFor;) {
+            reading.remove(c);
             c.tooLong();
         }
     }
 
-    int port() {
+    public int port() {
         return ((InetSocketAddress) server.localAddress()).getPort();
     }
 
@@ -152,7 +181,7 @@
      *
      * @param leftMs time until the process may be killed
      */
-    void drain(long leftMs, Runnable done) {
+    public void drain(long leftMs, Runnable done) {
         draining = true;
         long leaveMs = Math.max(FEWEST_DRAIN_MS, leftMs - LEAVE_MS);
         loop.schedule(() -> leaving = true, leaveMs, TimeUnit.MILLISECONDS);
@@ -166,8 +195,23 @@
         }, leaveMs + LAST_CALL_MS, TimeUnit.MILLISECONDS);
     }
 
-    /** One connection of the application. */
-    final class Client extends SimpleChannelInboundHandler<HttpObject> {
+    /** Whether its end has been told. */
+    public boolean draining() {
+        return draining;
+    }
+
+    /** From now on each answer is the last on its connection; new connections are served the same way. */
+    public void leave() {
+        leaving = true;
+    }
+
+    /** Requests taken and not yet answered, and those being read. */
+    public boolean idle() {
+        return busyClients == 0 && reading.isEmpty();
+    }
+
+    /** One connection of a client. */
+    public final class Client extends SimpleChannelInboundHandler<HttpObject> {
         private final Channel channel;
         private final ArrayDeque<Ahead> ahead = new ArrayDeque<>();
         private int aheadBytes;
@@ -181,8 +225,11 @@
         private boolean pumping;
         private boolean peeking;
         private boolean keepAlive;
+        private boolean lastAnswer;
         private long quietAt;
-        private ClientProxy.Exchange exchange;
+        private long readAt;
+        private Runnable gone;
+        private Runnable writable;
 
         /** A request as read, or what is to be said of one that can't be. */
         private record Ahead(HttpRequest head, byte[] body, long at, HttpResponseStatus error) {}
@@ -222,12 +269,14 @@
             expects = expected != null;
             if (!Framing.sound(request)) {
                 unreadable(HttpResponseStatus.BAD_REQUEST);
-            } else if (Framing.tooLong(request.headers())) {
+            } else if (Framing.tooLong(request.headers(), terms.mostBody())) {
                 unreadable(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             } else if (expects && !HttpHeaderValues.CONTINUE.contentEqualsIgnoreCase(expected)) {
                 unreadable(HttpResponseStatus.EXPECTATION_FAILED);
             } else {
                 head = request;
+                readAt = System.nanoTime();
+                reading.add(this);
                 body = Upstream.BUFFERS.buffer();
                 goAhead();
             }
@@ -243,7 +292,7 @@
         }
 
         private void append(ByteBuf more) {
-            if (body.readableBytes() + more.readableBytes() > Framing.MOST_BODY) {
+            if (body.readableBytes() + more.readableBytes() > terms.mostBody()) {
                 unreadable(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             } else {
                 hold(more.readableBytes());
@@ -256,13 +305,15 @@
             body.readBytes(whole);
             HttpRequest request = head;
             head = null;
-            wait(new Ahead(request, whole, proxy.now(), null));
+            reading.remove(this);
+            wait(new Ahead(request, whole, desk.now(), null));
         }
 
         /** The last that is read of this client: what it sent before is served, then it is told. */
         private void unreadable(HttpResponseStatus error) {
             lost = true;
             head = null;
+            reading.remove(this);
             wait(new Ahead(null, new byte[0], 0, error));
         }
 
@@ -326,33 +377,28 @@
 
         private void handle(Ahead next) {
             busy = true;
+            busyClients++;
             HttpRequest in = next.head();
             keepAlive = in != null && HttpUtil.isKeepAlive(in);
-            String path = in == null ? "" : in.uri().split("\\?", 2)[0];
             if (in == null) {
                 answer(next.error());
-            } else if (path.equals("/-/ready")) {
-                answer(proxy.ready() && !draining ? HttpResponseStatus.OK
-                        : HttpResponseStatus.SERVICE_UNAVAILABLE);
-            } else if (!path.equals("/api") && !path.startsWith("/api/")) {
-                answer(HttpResponseStatus.NOT_FOUND);
             } else {
-                proxy.take(this, in, next.body(), next.at());
+                desk.take(this, in, next.body(), next.at());
             }
         }
 
-        /** The request at hand is open until {@link #answer}. */
-        void opened(ClientProxy.Exchange exchange) {
-            this.exchange = exchange;
+        /** The request at hand is open until {@link #answer}; {@code left} is told if its client leaves before. */
+        public void opened(Runnable left) {
+            this.gone = left;
         }
 
-        void answer(HttpResponseStatus status) {
+        public void answer(HttpResponseStatus status) {
             answer(status, ClientProxy.NO_BODY, 0);
         }
 
         /** The final answer of the request at hand; the next has its turn when this one is written. */
-        void answer(HttpResponseStatus status, Upstream.Answer what, long retryAfterUs) {
-            exchange = null;
+        public void answer(HttpResponseStatus status, Upstream.Answer what, long retryAfterUs) {
+            gone = null;
             DefaultFullHttpResponse out = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
                     Unpooled.wrappedBuffer(what.body()));
             out.headers().set(HttpHeaderNames.CONTENT_LENGTH, what.body().length);
@@ -363,19 +409,70 @@
                 out.headers().set(HttpHeaderNames.RETRY_AFTER,
                         BigDecimal.valueOf(retryAfterUs, 6).stripTrailingZeros().toPlainString());
             }
+            if (what.headers() != null) {
+                out.headers().add(what.headers());
+            }
+            boolean last = last(out);
+            hush();
+            channel.writeAndFlush(out).addListener(written -> over(last, written));
+        }
+
+        private boolean last(HttpResponse head) {
             boolean last = !keepAlive || leaving && ahead.isEmpty();
             if (last) {
-                out.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+                head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
+            return last;
+        }
+
+        private void over(boolean last, Future<?> written) {
+            if (busy) {
+                busyClients--;
+                busy = false;
+            }
+            if (last || !written.isSuccess()) {
+                channel.close();
+            } else {
+                pump();
+            }
+        }
+
+        /** Begins an answer whose body comes in pieces; {@link #finish} ends it, {@link #cut} breaks it off. */
+        public void begin(HttpResponse out) {
+            lastAnswer = last(out);
+            channel.writeAndFlush(out);
+        }
+
+        /** A piece of the body, written at once. Takes over the buffer. */
+        public void piece(ByteBuf bytes) {
+            channel.writeAndFlush(new DefaultHttpContent(bytes));
+        }
+
+        /** The answer is whole. */
+        public void finish() {
+            gone = null;
             hush();
-            channel.writeAndFlush(out).addListener(written -> {
-                if (last || !written.isSuccess()) {
-                    channel.close();
-                } else {
-                    busy = false;
-                    pump();
-                }
-            });
+            boolean last = lastAnswer;
+            channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(written -> over(last, written));
+        }
+
+        /** The answer can't be made whole, or none can be given: its client sees that by the connection's end. */
+        public void cut() {
+            gone = null;
+            channel.close();
+        }
+
+        /** Whether more can be written without piling up; {@code again} is told when it can be after it could not. */
+        public boolean writable(Runnable again) {
+            writable = again;
+            return channel.isWritable();
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+            if (writable != null && channel.isWritable()) {
+                writable.run();
+            }
         }
 
         /** From here on the connection is quiet: also one whose client does not read its answer. */
@@ -392,6 +489,7 @@
             quiet.remove(this);
             if (head != null && !busy) {
                 busy = true;
+                busyClients++;
                 keepAlive = false;
                 answer(HttpResponseStatus.REQUEST_TIMEOUT);
             } else {
@@ -409,11 +507,16 @@
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             quiet.remove(this);
+            reading.remove(this);
             ahead.clear();
             held -= aheadBytes;
             aheadBytes = 0;
-            if (exchange != null) {
-                proxy.gone(exchange);
+            if (busy) {
+                busy = false;
+                busyClients--;
+            }
+            if (gone != null) {
+                gone.run();
             }
         }
 
--- a/src/main/java/mulleinfront/proxy/Upstream.java
+++ b/src/main/java/mulleinfront/proxy/Upstream.java
@@ -14,6 +14,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
@@ -37,7 +38,7 @@
  * Connections to hosts, one request at a time on each, and the attempts made on them. It resends nothing:
  * an attempt is written whole once at most, and ends exactly once, with the outcome that can be vouched for.
  */
-final class Upstream {
+public final class Upstream {
     /** Part of the settings' idle time after which we close first: a host closes at the whole of it. */
     private static final double IDLE_PART = 0.75;
     private static final long SWEEP_MS = 100;
@@ -58,7 +59,17 @@
     private static final double IDLE_GROW = 1.1;
 
     /** Buffers count as heap, which is bounded once and for all, and need no pool at this traffic. */
-    static final UnpooledByteBufAllocator BUFFERS = new UnpooledByteBufAllocator(false);
+    public static final UnpooledByteBufAllocator BUFFERS = new UnpooledByteBufAllocator(false);
+
+    /** What hosts' answers mean. */
+    private static final Reading OWN = new Reading() {
+        @Override
+        public Outcome outcome(HttpResponse head) {
+            int status = head.status().code();
+            boolean notRun = (status == 503 || status == 504) && "1".equals(head.headers().get("X-Not-Run"));
+            return status == 200 ? Outcome.OK : notRun ? Outcome.QUEUE_FULL : Outcome.FAILED;
+        }
+    };
 
     private final EventLoop loop;
     private final Bootstrap bootstrap;
@@ -69,7 +80,7 @@
     private final LinkedHashSet<Connection> idle = new LinkedHashSet<>();
     private int connections;
 
-    Upstream(EventLoop loop, long dialTimeoutUs, long connIdleUs, int mostConnections) {
+    public Upstream(EventLoop loop, long dialTimeoutUs, long connIdleUs, int mostConnections) {
         this.loop = loop;
         this.mostConnections = mostConnections;
         this.mostIdleNanos = (long) (connIdleUs * 1000 * IDLE_PART);
@@ -81,7 +92,7 @@
     }
 
     /** Closes what has been idle for long, from now on. */
-    void begin() {
+    public void begin() {
         loop.scheduleWithFixedDelay(() -> {
             long before = System.nanoTime() - idleNanos;
             for (Connection c; !idle.isEmpty() && (c = idle.iterator().next()).idleAt - before < 0;) {
@@ -91,36 +102,86 @@
     }
 
     /** A host as last listed; all fields are discovery's to set. */
-    static final class Host {
+    public static final class Host {
         final String id;
         InetSocketAddress address;
         boolean ready;
+        /** Connections it may have of us at once. */
+        private int most = Integer.MAX_VALUE;
+        private int made;
         private final ArrayDeque<Connection> idle = new ArrayDeque<>();
 
-        Host(String id) {
+        public Host(String id) {
             this.id = id;
         }
+
+        /** What was heard of it. */
+        public void listed(InetSocketAddress at, boolean isReady, int mostConnections) {
+            address = at;
+            ready = isReady;
+            most = mostConnections;
+        }
+
+        /** Whether a connection to it is at hand. */
+        public boolean connected() {
+            return !idle.isEmpty();
+        }
+
+        /** Whether a connection is at hand or may be made. */
+        public boolean reachable() {
+            return !idle.isEmpty() || made < most;
+        }
     }
 
-    /** A host's 200. */
-    record Answer(byte[] body, String contentType) {}
+    /** A host's whole answer; {@code headers} where the reading asks for them, else null. */
+    public record Answer(byte[] body, String contentType, HttpHeaders headers) {}
 
-    /** Told once how an attempt ended; {@code answer} is null unless it was served. */
-    interface End {
+    /** Told once how an attempt ended; {@code answer} is null unless there is one to pass on. */
+    public interface End {
         void ended(Outcome outcome, Answer answer);
     }
 
+    /** What an answer means, and whether its body is wanted as it comes. */
+    public interface Reading {
+        Outcome outcome(HttpResponse head);
+
+        /** Whether an answer is to another request than this one's, late: it is passed over. */
+        default boolean strange(HttpResponse head) {
+            return false;
+        }
+
+        /** The head of an answer; true if its body is to come in pieces, to {@link #piece}. */
+        default boolean streams(HttpResponse head) {
+            return false;
+        }
+
+        /** A piece of the body; the buffer is the caller's. False to read no more until told. */
+        default boolean piece(ByteBuf bytes) {
+            return true;
+        }
+
+        /** Whether answers that are no 2xx come with headers and body. */
+        default boolean whole() {
+            return false;
+        }
+    }
+
     /**
      * An attempt, to be started at once.
      *
      * @param wanted whether the request still waits for an answer
      */
     Attempt attempt(Host host, Call call, long timeoutUs, BooleanSupplier wanted, End end) {
-        return new Attempt(host, call, timeoutUs, wanted, end);
+        return attempt(host, call, timeoutUs, wanted, OWN, end);
+    }
+
+    /** An attempt whose answer is read in a way of its own. */
+    public Attempt attempt(Host host, Call call, long timeoutUs, BooleanSupplier wanted, Reading reading, End end) {
+        return new Attempt(host, call, timeoutUs, wanted, reading, end);
     }
 
     /** Closes the idle connections to a host; those in use close after their answer. */
-    void hangUp(Host host) {
+    public void hangUp(Host host) {
         for (Connection c; (c = host.idle.peek()) != null;) {
             c.close();
         }
@@ -150,11 +211,12 @@
         }
     }
 
-    final class Attempt {
+    public final class Attempt {
         private final Host host;
         private final Call call;
         private final long endNanos;
         private final BooleanSupplier wanted;
+        private final Reading reading;
         private final End end;
         private final ScheduledFuture<?> timer;
         private ChannelFuture connecting;
@@ -165,17 +227,18 @@
         private long writtenAt;
         private boolean over;
 
-        private Attempt(Host host, Call call, long timeoutUs, BooleanSupplier wanted, End end) {
+        private Attempt(Host host, Call call, long timeoutUs, BooleanSupplier wanted, Reading reading, End end) {
             this.host = host;
             this.call = call;
             this.wanted = wanted;
+            this.reading = reading;
             this.end = end;
             this.endNanos = System.nanoTime() + timeoutUs * 1000;
             this.timer = loop.schedule(() -> abandon(Outcome.TIMED_OUT), timeoutUs, TimeUnit.MICROSECONDS);
         }
 
         /** The end may be told before this returns. */
-        void start() {
+        public void start() {
             Connection reused = rested(host);
             if (reused != null) {
                 idleFor = System.nanoTime() - reused.idleAt;
@@ -186,6 +249,10 @@
         }
 
         private void connect() {
+            if (host.made >= host.most) {
+                finish(Outcome.IGNORED, null);
+                return;
+            }
             if (connections >= mostConnections && !idle.isEmpty()) {
                 idle.iterator().next().close();
             }
@@ -200,7 +267,11 @@
                     .handler(made.pipeline()).connect(host.address);
             fresh++;
             connections++;
-            up.channel().closeFuture().addListener(f -> connections--);
+            host.made++;
+            up.channel().closeFuture().addListener(f -> {
+                connections--;
+                host.made--;
+            });
             connecting = up;
             up.addListener(f -> {
                 if (over) {
@@ -245,8 +316,20 @@
             });
         }
 
+        /** Reads on after {@link Reading#piece} asked not to. */
+        public void readOn() {
+            if (connection != null) {
+                connection.channel.config().setAutoRead(true);
+            }
+        }
+
+        /** Whether the whole request has gone out. */
+        public boolean sent() {
+            return written != null && written.isSuccess();
+        }
+
         /** Stops waiting: the connection goes with the attempt, so that the host stops too. */
-        void cancel() {
+        public void cancel() {
             abandon(Outcome.CANCELED);
         }
 
@@ -315,6 +398,9 @@
         private boolean reusable = true;
         private Outcome outcome;
         private Answer answer;
+        /** Whether the answer at hand goes on in pieces, or belongs to an earlier request. */
+        private boolean streaming;
+        private boolean strange;
 
         /** What comes while nothing is asked belongs to no request, read to its end or not. */
         private final Framing.ResponseDecoder decoder = new Framing.ResponseDecoder() {
@@ -377,6 +463,19 @@
                 }
             }
             if (in instanceof HttpContent content && head.status().code() >= 200) {
+                if (strange) {
+                    strange = !(in instanceof LastHttpContent);
+                    return;
+                }
+                if (streaming) {
+                    if (content.content().isReadable() && !current.reading.piece(content.content())) {
+                        channel.config().setAutoRead(false);
+                    }
+                    if (in instanceof LastHttpContent && current != null) {
+                        whole();
+                    }
+                    return;
+                }
                 if (body.readableBytes() + content.content().readableBytes() > Framing.MOST_BODY) {
                     spoilt();
                     return;
@@ -393,8 +492,14 @@
             int status = response.status().code();
             boolean interimToo = status < 200 && status != 101 && ++interim <= MOST_INTERIM;
             boolean stated = Framing.statesLength(response.headers());
-            if (!Framing.sound(response) || Framing.tooLong(response.headers())
-                    || status < 200 && !interimToo || status == 200 && !stated) {
+            boolean good = status >= 200 && status < 300;
+            if (!Framing.sound(response) || status < 200 && !interimToo || good && !stated) {
+                spoilt();
+            } else if (status >= 200 && stated && current.reading.strange(response)) {
+                strange = true;
+            } else if (good && current.reading.streams(response)) {
+                streaming = true;
+            } else if (Framing.tooLong(response.headers(), Framing.MOST_BODY)) {
                 spoilt();
             } else if (status > 200 && !stated) {
                 whole();
@@ -409,14 +514,13 @@
 
         /** Keeps the answer until the read is over: what follows it unasked ends the connection. */
         private void whole() {
-            int status = head.status().code();
-            boolean notRun = (status == 503 || status == 504) && "1".equals(head.headers().get("X-Not-Run"));
-            outcome = status == 200 ? Outcome.OK : notRun ? Outcome.QUEUE_FULL : Outcome.FAILED;
+            outcome = current.reading.outcome(head);
             reusable = HttpUtil.isKeepAlive(head) && current.written.isSuccess();
-            if (status == 200) {
+            if (outcome == Outcome.OK || current.reading.whole()) {
                 byte[] bytes = new byte[body.readableBytes()];
                 body.readBytes(bytes);
-                answer = new Answer(bytes, head.headers().get(HttpHeaderNames.CONTENT_TYPE));
+                answer = new Answer(bytes, head.headers().get(HttpHeaderNames.CONTENT_TYPE),
+                        current.reading.whole() ? head.headers() : null);
             }
         }
 
@@ -435,6 +539,8 @@
             outcome = null;
             answer = null;
             interim = 0;
+            streaming = false;
+            channel.config().setAutoRead(true);
             body.clear();
             if (reusable && !decoder.holdsMore() && host.ready && channel.isActive()) {
                 idleAt = System.nanoTime();
--- /dev/null
+++ b/src/main/java/quartzspan/bond/Disk.java
@@ -0,0 +1,19 @@
+package quartzspan.bond;
+
+/**
+ * The few operations on files that a {@link Bond} needs. What is written lasts once its file is synced, and a new file once
+ * its folder is too. Each call may block, and throws {@link quartzspan.papers.Refusal} where the disk refuses.
+ */
+public interface Disk {
+    /** All bytes of a file; null if there is none. */
+    byte[] read(String name);
+
+    /** Writes at a place, and makes the file if there is none. */
+    void write(String name, long at, byte[] bytes);
+
+    void truncate(String name, long length);
+
+    void sync(String name);
+
+    void syncFolder();
+}
--- /dev/null
+++ b/src/main/java/quartzspan/crossing/Crossing.java
@@ -0,0 +1,374 @@
+package quartzspan.crossing;
+
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import mulleinfront.Placement;
+import mulleinfront.proxy.Call;
+import mulleinfront.proxy.Clock;
+import mulleinfront.proxy.Framing;
+import mulleinfront.proxy.Frontend;
+import mulleinfront.proxy.Upstream;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import quartzspan.manifest.Manifest;
+import quartzspan.manifest.Manifest.Route;
+import quartzspan.manifest.Manifest.Service;
+import quartzspan.manifest.Manifest.Share;
+import quartzspan.manifest.Manifest.Tenant;
+import quartzspan.papers.Refusal;
+import quartzspan.papers.Settings;
+import quartzspan.roster.Fact;
+import quartzspan.roster.Roster;
+import quartzspan.roster.Server;
+import quartzspan.roster.Spread;
+import quartzspan.roster.Tidings;
+import quartzspan.waybill.Carrier;
+import quartzspan.waybill.Waybill.Hello;
+
+/**
+ * A frontend machine's process: takes clients' requests, finds their route and tenant in the configuration, and carries them
+ * to the server that the decision module names. One event loop owns all of it.
+ */
+public final class Crossing implements Frontend.Desk {
+    private static final Logger LOG = LoggerFactory.getLogger(Crossing.class);
+    private static final int TICK_MS = 50;
+    private static final int OWN_DESCRIPTORS = 300;
+    private static final int DIAL_US = 400_000;
+    /** Idle connections to servers are closed before the servers do so. */
+    private static final long IDLE_US = 8_000_000;
+    /** Clients are told to come back after this part of the objective. */
+    private static final double COME_BACK = 0.3;
+    /** A key's removal must be known this long before it counts: between our look and the server's start lies some time. */
+    private static final long FRESH_MARGIN_MS = 700;
+    /** How long new connections may still come after readiness says no. */
+    private static final long LAST_CLIENTS_MS = 3_300;
+    private static final long KILL_MARGIN_MS = 700;
+    /** Headers that only the system sets. */
+    private static final List<String> OURS = List.of("X-Expected-Instance", "X-Tenant", "Cache-Salt", "Kv-Fetch", "Kv-Save",
+            "Expect-Version", "Priority");
+
+    private final Settings settings;
+    private final Clock clock = new Clock();
+    private final EventLoopGroup group;
+    private final EventLoop loop;
+    private final Roster roster = new Roster();
+    private final Spread spread;
+    private final Carrier carrier;
+    private final Frontend frontend;
+    private final Frontend readiness;
+    private final Upstream upstream;
+    private final Placement placement;
+    private final SplittableRandom random = new SplittableRandom(System.nanoTime());
+    private final Map<String, Upstream.Host> hosts = new HashMap<>();
+    private final Map<String, String> addresses = new HashMap<>();
+    private final Set<Passage> open = new HashSet<>();
+    private final CountDownLatch ended = new CountDownLatch(1);
+    private long leavingAt = Long.MAX_VALUE;
+    private boolean ready;
+
+    private Crossing(Settings settings, EventLoopGroup group, EventLoop loop) {
+        this.settings = settings;
+        this.group = group;
+        this.loop = loop;
+        String self = text(settings.internal());
+        this.upstream = new Upstream(loop, DIAL_US, IDLE_US, Math.max(64, (settings.descriptors() - OWN_DESCRIPTORS) / 3));
+        this.carrier = new Carrier(loop, new Hello(false, self, "", settings.zone()), this::received);
+        this.spread = new Spread(self, false, seeds(settings), roster, carrier::send);
+        this.frontend = new Frontend(this, loop);
+        this.placement = new Placement(System.nanoTime(), new Placement.Connections() {
+            @Override
+            public boolean connected(String server) {
+                return hosts.get(server).connected();
+            }
+
+            @Override
+            public boolean reachable(String server) {
+                return hosts.get(server).reachable();
+            }
+        });
+        this.readiness = new Frontend(new Frontend.Desk() {
+            @Override
+            public long now() {
+                return clock.now();
+            }
+
+            @Override
+            public void take(Frontend.Client client, HttpRequest in, byte[] body, long at) {
+                client.answer(!in.uri().split("\\?", 2)[0].equals("/quartzspan/readiness") ? HttpResponseStatus.NOT_FOUND
+                        : ready() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE);
+            }
+
+            @Override
+            public Frontend.Terms terms() {
+                return new Frontend.Terms(64, 8 * 1024, 8 * 1024, 30_000, 5_000);
+            }
+        }, loop);
+    }
+
+    /** Internal addresses of the core machines to begin with: on all machines the ports are alike. */
+    private static List<String> seeds(Settings settings) {
+        return settings.seeds().stream().map(s -> s.getHostString() + ':' + settings.internalPort()).toList();
+    }
+
+    private static String text(InetSocketAddress at) {
+        return at.getHostString() + ':' + at.getPort();
+    }
+
+    /** Starts to serve; returns once it listens. It is ready when it has a configuration that is surely the newest. */
+    static Crossing start(Settings settings) throws Exception {
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        EventLoop loop = group.next();
+        Crossing c = loop.submit(() -> new Crossing(settings, group, loop)).get();
+        for (ChannelFuture f : List.of(c.carrier.listen(settings.internal()),
+                loop.submit(() -> c.readiness.listen(settings.listens("readiness"))).get(),
+                loop.submit(() -> c.frontend.listen(settings.listens("frontend"))).get())) {
+            if (!f.await().isSuccess()) {
+                throw new Refusal(Refusal.Code.ADDRESS_TAKEN, "can't listen: " + f.cause().getMessage(),
+                        "end what holds the address");
+            }
+        }
+        loop.submit(() -> {
+            c.upstream.begin();
+            loop.scheduleWithFixedDelay(c::tick, 1, TICK_MS, TimeUnit.MILLISECONDS);
+        }).get();
+        LOG.info("proxy {} listens at {}", settings.nodeName(), settings.listens("frontend"));
+        return c;
+    }
+
+    /** Settings that changed while it serves: whom to ask first. */
+    void reload(Settings changed) {
+        loop.execute(() -> spread.seeds(seeds(changed)));
+    }
+
+    /** Serves to the end what came and still comes, without losing any of it; returns when the process may end. */
+    void leave() {
+        long graceMs = (long) (settings.bounds().gracePeriodS() * 1000);
+        loop.execute(() -> {
+            LOG.info("told to end; {} requests are open", open.size());
+            leavingAt = ms();
+            ready = false;
+            frontend.leave();
+            loop.scheduleWithFixedDelay(() -> {
+                long since = ms() - leavingAt;
+                if (since > Math.min(LAST_CLIENTS_MS, graceMs - KILL_MARGIN_MS) && open.isEmpty() && frontend.idle()
+                        || since > graceMs - KILL_MARGIN_MS) {
+                    ended.countDown();
+                }
+            }, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+        });
+        try {
+            ended.await(graceMs, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    // ---- what others need ----------------------------------------------------------------------------
+
+    @Override
+    public long now() {
+        return clock.now();
+    }
+
+    private long ms() {
+        return clock.now() / 1000;
+    }
+
+    Placement placement() {
+        return placement;
+    }
+
+    Upstream upstream() {
+        return upstream;
+    }
+
+    Upstream.Host host(String server) {
+        return hosts.get(server);
+    }
+
+    void done(Passage passage) {
+        open.remove(passage);
+    }
+
+    long comeBackUs(Route route) {
+        return (long) (route.targetMs() * 1000 * COME_BACK * (0.8 + 0.4 * random.nextDouble()));
+    }
+
+    @Override
+    public Frontend.Terms terms() {
+        Manifest.Limits l = manifest().limits();
+        return new Frontend.Terms(Math.max(64, (settings.descriptors() - OWN_DESCRIPTORS) / 2), l.headerBytes() + 1024,
+                l.bodyBytes(), l.idleTimeoutMs() + 5_000L, Math.max(10_000, l.headerTimeoutMs()));
+    }
+
+    private Manifest manifest() {
+        return roster.ledger().manifest();
+    }
+
+    /** Whether what is known here is new enough to let anybody in by it. */
+    private boolean fresh() {
+        long age = ms() - roster.freshAt();
+        return manifest().version() > 0 && (!settings.bounds().strictRevocation()
+                ? roster.freshAt() > 0 : age < settings.bounds().revocationMs() - FRESH_MARGIN_MS);
+    }
+
+    private boolean ready() {
+        return ready && fresh() && leavingAt == Long.MAX_VALUE;
+    }
+
+    // ---- the fleet -----------------------------------------------------------------------------------
+
+    private void tick() {
+        try {
+            long now = ms();
+            spread.onTick(now, null);
+            roster.tidy(now);
+            carrier.tidy(10_000);
+            if (!ready && fresh()) {
+                ready = true;
+                LOG.info("ready with version {}", manifest().version());
+            }
+        } catch (RuntimeException e) {
+            LOG.error("a turn failed", e);
+        }
+    }
+
+    private void received(Hello from, Object message) {
+        if (!(message instanceof Tidings tidings)) {
+            return;
+        }
+        Roster.News news = spread.onTidings(ms(), from.address(), tidings);
+        news.facts().forEach(this::learn);
+        if (news.ledger()) {
+            // Bounds of connections are the configuration's.
+            roster.all(Fact.Subject.SERVER).forEach(this::learn);
+        }
+    }
+
+    private void learn(Fact f) {
+        Server s = Server.of(f);
+        if (s == null) {
+            return;
+        }
+        if (s.state() == Fact.State.GONE || s.state() == Fact.State.LOST) {
+            Upstream.Host host = hosts.get(s.id());
+            if (host != null) {
+                placement.gone(s.id());
+                host.listed(null, false, 0);
+                upstream.hangUp(host);
+                hosts.remove(s.id());
+                addresses.remove(s.id());
+            }
+            return;
+        }
+        int colon = s.address().lastIndexOf(':');
+        boolean ready = s.state() == Fact.State.READY;
+        Service service = manifest().services().get(s.service());
+        int most = service == null ? 64 : Math.max(2, service.maxConnections() / Math.max(1, proxies()));
+        Upstream.Host host = hosts.computeIfAbsent(s.id(), Upstream.Host::new);
+        if (!s.address().equals(addresses.put(s.id(), s.address())) || !ready) {
+            upstream.hangUp(host);
+        }
+        host.listed(new InetSocketAddress(s.address().substring(0, colon),
+                (int) Framing.number(s.address().substring(colon + 1))), ready, most);
+        placement.listed(s.id(), s.service(), ready);
+    }
+
+    private int proxies() {
+        return (int) Math.max(1, roster.all(Fact.Subject.PROXY).stream().filter(f -> f.state() == Fact.State.READY).count());
+    }
+
+    // ---- clients -------------------------------------------------------------------------------------
+
+    @Override
+    public void take(Frontend.Client client, HttpRequest in, byte[] body, long at) {
+        HttpHeaders h = in.headers();
+        if (!fresh()) {
+            client.answer(HttpResponseStatus.SERVICE_UNAVAILABLE, new Upstream.Answer(new byte[0], null, null), 300_000);
+            return;
+        }
+        Manifest manifest = manifest();
+        String host = h.get(HttpHeaderNames.HOST, "").toLowerCase(Locale.ROOT).split(":", 2)[0];
+        Route route = manifest.route(host, in.uri().split("\\?", 2)[0]);
+        if (route == null) {
+            client.answer(HttpResponseStatus.NOT_FOUND);
+            return;
+        }
+        Tenant tenant = null;
+        if (manifest.hasTenants()) {
+            String key = h.get(HttpHeaderNames.AUTHORIZATION, "");
+            tenant = key.startsWith("Token ") ? manifest.tenant(key.substring(6).trim()) : null;
+            if (tenant == null && !route.open()) {
+                client.answer(HttpResponseStatus.UNAUTHORIZED);
+                return;
+            }
+        }
+        Call call = Call.of(in, body);
+        OURS.forEach(call.headers()::remove);
+        if (manifest.hasTenants()) {
+            call.headers().remove(HttpHeaderNames.AUTHORIZATION);
+        }
+        if (tenant != null) {
+            call.headers().set("X-Tenant", tenant.name());
+        }
+        boolean walled = tenant != null && tenant.isolated();
+        if (walled) {
+            call.headers().set("Cache-Salt", "w" + tenant.name());
+        }
+        if (route.affine()) {
+            call.headers().set("Priority", Math.min(9, 3 * Math.max(0, tenant == null ? 0 : tenant.priority())
+                    + Math.max(0, route.priority())));
+        }
+        long deadlineMs = Framing.number(h.get("X-Deadline-Ms"));
+        long endAt = at + 1000 * Math.min(deadlineMs < 1 ? route.timeoutMs() : deadlineMs, route.timeoutMs());
+        placement.came(settings.bounds().retryBudgetRatio(), settings.bounds().retryAllowance(), proxies());
+        Passage passage = new Passage(this, client, route, job(route, h, walled ? tenant.name() : ""), call, endAt);
+        open.add(passage);
+        passage.start();
+    }
+
+    /** What the decision module is told of a request: its key is the model, the wall and the parts that others share. */
+    private Placement.Job job(Route route, HttpHeaders h, String wall) {
+        String[] tokens = h.get("X-Token-Count", "0,0").split(",", 2);
+        String prefix = h.get("X-Prompt-Prefix");
+        String key = null;
+        if (route.affine() && prefix != null) {
+            int last = prefix.lastIndexOf(',');
+            key = h.get("X-Model", "") + '|' + wall + '|' + (last < 0 ? prefix : prefix.substring(0, last));
+        }
+        return new Placement.Job(service(route), key, Math.max(0, Framing.number(tokens[0].trim())),
+                tokens.length < 2 ? 0 : Math.max(0, Framing.number(tokens[1].trim())));
+    }
+
+    private String service(Route route) {
+        List<Share> able = new ArrayList<>(route.shares());
+        able.removeIf(s -> s.weight() == 0);
+        long sum = able.stream().mapToLong(Share::weight).sum();
+        long at = random.nextLong(sum);
+        for (Share s : able) {
+            at -= s.weight();
+            if (at < 0) {
+                return s.service();
+            }
+        }
+        return able.get(0).service();
+    }
+}
--- /dev/null
+++ b/src/main/java/quartzspan/crossing/Passage.java
@@ -0,0 +1,199 @@
+package quartzspan.crossing;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import mulleinfront.Balancer.Outcome;
+import mulleinfront.Placement.Job;
+import mulleinfront.proxy.Call;
+import mulleinfront.proxy.Frontend;
+import mulleinfront.proxy.Upstream;
+import mulleinfront.proxy.Upstream.Answer;
+import quartzspan.manifest.Manifest.Route;
+
+/** One request on its way: from its client to a server, to another if it surely has not run, and the answer back. */
+final class Passage implements Upstream.Reading {
+    private static final String NOT_EXECUTED = "X-Not-Executed";
+    private static final List<CharSequence> ONE_CONNECTION = List.of(HttpHeaderNames.CONNECTION, "Keep-Alive",
+            HttpHeaderNames.TRAILER, HttpHeaderNames.UPGRADE, "Proxy-Connection");
+    /** We are done this long before the client's time is up. */
+    private static final long MARGIN_US = 15_000;
+    private static final Answer NOTHING = new Answer(new byte[0], null, null);
+
+    private final Crossing crossing;
+    private final Frontend.Client client;
+    private final Route route;
+    private final Job job;
+    private final Call call;
+    private final String attemptId;
+    private final long endAt;
+    private final Set<String> tried = new HashSet<>();
+    private int sends;
+    private boolean mayHaveRun;
+    private boolean begun;
+    private boolean over;
+    private String server;
+    private Upstream.Attempt attempt;
+    private HttpResponse head;
+
+    Passage(Crossing crossing, Frontend.Client client, Route route, Job job, Call call, long endAt) {
+        this.crossing = crossing;
+        this.client = client;
+        this.route = route;
+        this.job = job;
+        this.call = call;
+        this.attemptId = call.headers().get("X-Attempt-Id");
+        this.endAt = endAt - MARGIN_US;
+    }
+
+    void start() {
+        client.opened(this::left);
+        next();
+    }
+
+    private void next() {
+        long left = endAt - crossing.now();
+        String to = left <= 0 ? null : crossing.placement().pick(crossing.now(), job, tried);
+        Upstream.Host host = to == null ? null : crossing.host(to);
+        if (host == null) {
+            refuse();
+            return;
+        }
+        server = to;
+        head = null;
+        HttpHeaders headers = new DefaultHttpHeaders().set(call.headers()).set("X-Expected-Instance", to);
+        crossing.placement().sent(to, job);
+        attempt = crossing.upstream().attempt(host, new Call(call.method(), call.uri(), headers, call.body()), left,
+                () -> !over, this, this::ended);
+        attempt.start();
+    }
+
+    private void left() {
+        if (!over) {
+            over = true;
+            if (attempt != null) {
+                attempt.cancel();
+            }
+            crossing.done(this);
+        }
+    }
+
+    // ---- the server's answer -------------------------------------------------------------------------
+
+    @Override
+    public boolean strange(HttpResponse answer) {
+        String id = answer.headers().get("X-Attempt-Id");
+        return id != null && attemptId != null && !id.equals(attemptId);
+    }
+
+    @Override
+    public Outcome outcome(HttpResponse answer) {
+        head = answer;
+        int status = answer.status().code();
+        return status >= 200 && status < 300 ? Outcome.OK
+                : status == 421 || answer.headers().contains(NOT_EXECUTED) ? Outcome.QUEUE_FULL : Outcome.FAILED;
+    }
+
+    @Override
+    public boolean whole() {
+        return true;
+    }
+
+    @Override
+    public boolean streams(HttpResponse answer) {
+        if (over) {
+            return false;
+        }
+        begun = true;
+        crossing.placement().answering(server);
+        HttpResponse out = new DefaultHttpResponse(HttpVersion.HTTP_1_1, answer.status(), passedOn(answer.headers()));
+        client.begin(out);
+        return true;
+    }
+
+    private static HttpHeaders passedOn(HttpHeaders from) {
+        HttpHeaders headers = new DefaultHttpHeaders().set(from);
+        from.getAll(HttpHeaderNames.CONNECTION).forEach(
+                names -> List.of(names.split(",")).forEach(name -> headers.remove(name.trim())));
+        ONE_CONNECTION.forEach(headers::remove);
+        return headers;
+    }
+
+    @Override
+    public boolean piece(ByteBuf bytes) {
+        if (over) {
+            return true;
+        }
+        client.piece(bytes.retain());
+        return client.writable(() -> {
+            if (attempt != null) {
+                attempt.readOn();
+            }
+        });
+    }
+
+    private void ended(Outcome outcome, Answer answer) {
+        crossing.placement().ended(crossing.now(), server, job, outcome);
+        attempt = null;
+        if (over) {
+            return;
+        }
+        if (begun) {
+            over = true;
+            if (outcome == Outcome.OK) {
+                client.finish();
+            } else {
+                client.cut();
+            }
+            crossing.done(this);
+            return;
+        }
+        tried.add(server);
+        boolean arrived = outcome != Outcome.CONNECT_ERROR && outcome != Outcome.IGNORED;
+        sends += arrived ? 1 : 0;
+        mayHaveRun |= !outcome.neverRan();
+        if (head != null && head.status().code() == 421) {
+            crossing.placement().moved(crossing.now(), server);
+        }
+        boolean again = (!mayHaveRun || route.repeatable()) && sends < route.maxAttempts() && tried.size() < 8
+                && (!arrived || crossing.placement().mayRepeat());
+        if (outcome == Outcome.FAILED && answer != null) {
+            // The server's own word: it ran, and this is what came of it.
+            conclude(head.status(), new Answer(answer.body(), null, own(passedOn(answer.headers()))), 0);
+        } else if (again) {
+            next();
+        } else {
+            refuse();
+        }
+    }
+
+    private static HttpHeaders own(HttpHeaders headers) {
+        return headers.remove(HttpHeaderNames.CONTENT_LENGTH).remove(HttpHeaderNames.TRANSFER_ENCODING);
+    }
+
+    // ---- answers of our own --------------------------------------------------------------------------
+
+    /** The final answer where none was served: when to come back if it has not run, and no promise if it may have. */
+    private void refuse() {
+        if (!mayHaveRun) {
+            conclude(HttpResponseStatus.SERVICE_UNAVAILABLE, NOTHING, crossing.comeBackUs(route));
+        } else {
+            conclude(crossing.now() >= endAt ? HttpResponseStatus.GATEWAY_TIMEOUT : HttpResponseStatus.BAD_GATEWAY, NOTHING,
+                    0);
+        }
+    }
+
+    private void conclude(HttpResponseStatus status, Answer answer, long retryAfterUs) {
+        over = true;
+        client.answer(status, answer, retryAfterUs);
+        crossing.done(this);
+    }
+}
--- /dev/null
+++ b/src/main/java/quartzspan/customhouse/Calls.java
@@ -0,0 +1,77 @@
+package quartzspan.customhouse;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import mulleinfront.proxy.Frontend.Client;
+import mulleinfront.proxy.Upstream.Answer;
+import quartzspan.papers.JsonLines;
+import quartzspan.papers.Refusal;
+
+/** The calls that servers and operators make, each declared beside its handler. */
+final class Calls {
+    /** One call; {@code rest} is what follows the declared path. */
+    interface Handler {
+        void handle(Client client, HttpRequest in, byte[] body, String rest);
+    }
+
+    private record Key(String method, String path) { }
+
+    private final Map<Key, Handler> calls = new LinkedHashMap<>();
+
+    /** Declares a call; a path that ends with a slash takes a name after it. */
+    Calls on(String method, String path, Handler handler) {
+        calls.put(new Key(method, path), handler);
+        return this;
+    }
+
+    void take(Client client, HttpRequest in, byte[] body) {
+        String path = in.uri().split("\\?", 2)[0];
+        int slash = path.lastIndexOf('/');
+        Handler whole = calls.get(new Key(in.method().name(), path));
+        Handler named = calls.get(new Key(in.method().name(), path.substring(0, slash + 1)));
+        try {
+            if (whole != null) {
+                whole.handle(client, in, body, "");
+            } else if (named != null && slash + 1 < path.length()) {
+                named.handle(client, in, body, path.substring(slash + 1));
+            } else {
+                error(client, HttpResponseStatus.NOT_FOUND, "NO_SUCH_CALL", "there is no such call",
+                        "see docs/operate for the calls");
+            }
+        } catch (Refusal why) {
+            refuse(client, why);
+        }
+    }
+
+    /** Says no, with what would mend it. */
+    static void refuse(Client client, Refusal why) {
+        error(client, HttpResponseStatus.valueOf(why.code().status()), why.code().name(), why.getMessage(), why.remedy());
+    }
+
+    private static void error(Client client, HttpResponseStatus status, String code, String reason, String remedy) {
+        StringBuilder json = new StringBuilder("{\"code\":");
+        JsonLines.quote(json, code);
+        JsonLines.quote(json.append(",\"reason\":"), reason);
+        JsonLines.quote(json.append(",\"remedy\":"), remedy);
+        answer(client, status, json.append('}').toString().getBytes(StandardCharsets.UTF_8));
+    }
+
+    static void ok(Client client) {
+        answer(client, HttpResponseStatus.OK, "{}".getBytes(StandardCharsets.UTF_8));
+    }
+
+    static void answer(Client client, HttpResponseStatus status, byte[] json) {
+        client.answer(status, new Answer(json, "application/json", null), 0);
+    }
+
+    /** Sends the caller to another machine. */
+    static void redirect(Client client, String to) {
+        HttpHeaders headers = new DefaultHttpHeaders().set("Location", to);
+        client.answer(HttpResponseStatus.TEMPORARY_REDIRECT, new Answer(new byte[0], null, headers), 0);
+    }
+}
--- /dev/null
+++ b/src/main/java/quartzspan/customhouse/Main.java
@@ -0,0 +1,26 @@
+package quartzspan.customhouse;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import quartzspan.papers.Refusal;
+import quartzspan.papers.Settings;
+import sun.misc.Signal;
+
+/** The program of a core machine. */
+public final class Main {
+    private static final Logger LOG = LoggerFactory.getLogger(Main.class);
+
+    private Main() { }
+
+    /** Takes no arguments: all comes from the settings file. */
+    public static void main(String[] args) throws Exception {
+        try {
+            // Nothing of a core machine's settings may change while it runs.
+            Signal.handle(new Signal("HUP"), hup -> { });
+            Customhouse house = Customhouse.start(Settings.load());
+            Runtime.getRuntime().addShutdownHook(new Thread(house::stop));
+        } catch (Refusal why) {
+            Settings.refuse(why, LOG::error);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/quartzspan/manifest/Manifest.java
@@ -0,0 +1,346 @@
+package quartzspan.manifest;
+
+import jakarta.json.JsonArray;
+import jakarta.json.JsonException;
+import jakarta.json.JsonNumber;
+import jakarta.json.JsonObject;
+import jakarta.json.JsonObjectBuilder;
+import jakarta.json.JsonReader;
+import jakarta.json.JsonReaderFactory;
+import jakarta.json.JsonString;
+import jakarta.json.JsonValue;
+import jakarta.json.spi.JsonProvider;
+import java.io.ByteArrayInputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import quartzspan.papers.Refusal;
+
+/** A whole configuration of the operators, read and checked. The document itself is kept as it was sent. */
+public final class Manifest {
+    /** Depth and size are bounded by the reader and by the size of a request. */
+    private static final JsonProvider JSON = JsonProvider.provider();
+    private static final JsonReaderFactory READERS = JSON.createReaderFactory(Map.of());
+    private static final List<String> NAMED = List.of("routes", "services", "tenants");
+    /** Before the operators have sent one: nothing is routed. */
+    public static final Manifest NONE = new Manifest(JSON.createObjectBuilder().add("version", 0)
+            .add("routes", JsonValue.EMPTY_JSON_ARRAY).add("services", JsonValue.EMPTY_JSON_ARRAY).build());
+
+    /** What repeating a request of a route does. */
+    public enum RouteType { READ_ONLY, MUTATING, STREAMING }
+
+    /** Part of a route's traffic that goes to a service. */
+    public record Share(String service, long weight) { }
+
+    /** A route; times in milliseconds. */
+    public record Route(String name, String host, String prefix, RouteType type, long timeoutMs, long targetMs,
+            int priority, List<Share> shares, int maxAttempts, boolean open, boolean affine, boolean resumable,
+            long gapAimMs) {
+        /** Whether a request may run more than once. */
+        public boolean repeatable() {
+            return type == RouteType.READ_ONLY || type == RouteType.STREAMING && resumable;
+        }
+    }
+
+    /** A service; {@code slots} is what one server runs at once, {@code store} the address of a prompt store. */
+    public record Service(String name, String healthPath, int maxConnections, int slots, List<String> models,
+            int eventCalls, long cacheTokens, long cacheBytes, double mbps, String store, String zone) { }
+
+    /** A tenant. */
+    public record Tenant(String name, List<String> keys, int priority, boolean isolated) { }
+
+    /** What a client may send and how long it may take. */
+    public record Limits(int headerBytes, int bodyBytes, int headerTimeoutMs, int idleTimeoutMs) { }
+
+    private final JsonObject document;
+    private final long version;
+    private final Map<String, List<Route>> byHost = new HashMap<>();
+    private final List<Route> routes = new ArrayList<>();
+    private final Map<String, Service> services = new LinkedHashMap<>();
+    private final Map<String, Tenant> byKey = new HashMap<>();
+    private final Limits limits;
+
+    private Manifest(JsonObject document) {
+        this.document = document;
+        this.version = whole(document, "version", -1);
+        if (version < 0) {
+            throw invalid("version is missing", "send a whole number above the current one as version");
+        }
+        for (JsonObject s : objects(document, "services")) {
+            Service service = service(s);
+            if (services.put(service.name(), service) != null) {
+                throw invalid("service " + service.name() + " is there twice", "keep one of them");
+            }
+        }
+        Map<String, Route> names = new HashMap<>();
+        for (JsonObject r : objects(document, "routes")) {
+            Route route = route(r);
+            if (names.put(route.name(), route) != null) {
+                throw invalid("route " + route.name() + " is there twice", "keep one of them");
+            }
+            List<Route> same = byHost.computeIfAbsent(route.host(), h -> new ArrayList<>());
+            for (Route other : same) {
+                if (other.prefix().equals(route.prefix())) {
+                    throw invalid("routes " + other.name() + " and " + route.name() + " share host and prefix",
+                            "give one of them another path_prefix");
+                }
+            }
+            same.add(route);
+            routes.add(route);
+        }
+        byHost.values().forEach(list -> list.sort((a, b) -> b.prefix().length() - a.prefix().length()));
+        for (JsonObject t : objects(document, "tenants")) {
+            Tenant tenant = tenant(t);
+            for (String key : tenant.keys()) {
+                Tenant other = byKey.put(key, tenant);
+                if (other != null && !other.name().equals(tenant.name())) {
+                    throw invalid("tenants " + other.name() + " and " + tenant.name() + " share a key",
+                            "give each tenant keys of its own");
+                }
+            }
+        }
+        JsonObject l = document.containsKey("limits") ? object(document.get("limits"), "limits")
+                : JsonValue.EMPTY_JSON_OBJECT;
+        this.limits = new Limits(positive(l, "max_header_bytes", 16_384), positive(l, "max_body_bytes", 4_194_304),
+                positive(l, "header_timeout_ms", 3_000), positive(l, "idle_timeout_ms", 15_000));
+        for (Route route : routes) {
+            for (Share share : route.shares()) {
+                if (!services.containsKey(share.service())) {
+                    throw invalid("route " + route.name() + " names the unknown service " + share.service(),
+                            "add the service or name another");
+                }
+            }
+        }
+    }
+
+    // ---- reading -------------------------------------------------------------------------------------
+
+    /** Reads and checks a whole configuration. */
+    public static Manifest read(byte[] json) {
+        return new Manifest(json(json));
+    }
+
+    /** A JSON object, whole. */
+    public static JsonObject json(byte[] bytes) {
+        try (JsonReader in = READERS.createReader(new ByteArrayInputStream(bytes), StandardCharsets.UTF_8)) {
+            return in.readObject();
+        } catch (JsonException | IllegalStateException | ClassCastException e) {
+            throw new Refusal(Refusal.Code.CONFIG_UNREADABLE, "can't be read as a JSON object: " + e.getMessage(),
+                    "send the whole document again");
+        }
+    }
+
+    /** This configuration with named items replaced, added and removed. */
+    public Manifest updated(JsonObject patch) {
+        JsonObjectBuilder next = JSON.createObjectBuilder(document);
+        JsonObject upsert = patch.containsKey("upsert") ? object(patch.get("upsert"), "upsert")
+                : JsonValue.EMPTY_JSON_OBJECT;
+        JsonObject remove = patch.containsKey("remove") ? object(patch.get("remove"), "remove")
+                : JsonValue.EMPTY_JSON_OBJECT;
+        for (String kind : NAMED) {
+            if (!upsert.containsKey(kind) && !remove.containsKey(kind)) {
+                continue;
+            }
+            Map<String, JsonObject> items = new LinkedHashMap<>();
+            objects(document, kind).forEach(o -> items.put(name(o, kind), o));
+            for (JsonValue gone : array(remove, kind)) {
+                if (!(gone instanceof JsonString s)) {
+                    throw invalid("remove." + kind + " holds what is no name", "list names there");
+                }
+                items.remove(s.getString());
+            }
+            objects(upsert, kind).forEach(o -> items.put(name(o, kind), o));
+            next.add(kind, JSON.createArrayBuilder(items.values()));
+        }
+        for (String part : upsert.keySet()) {
+            if (!NAMED.contains(part)) {
+                next.add(part, upsert.get(part));
+            }
+        }
+        if (patch.containsKey("limits")) {
+            next.add("limits", patch.get("limits"));
+        }
+        next.add("version", whole(patch, "version", -1));
+        return new Manifest(next.build());
+    }
+
+    private static Route route(JsonObject r) {
+        String name = name(r, "routes");
+        String in = "route " + name + ": ";
+        List<Share> shares = new ArrayList<>();
+        if (r.containsKey("traffic_split")) {
+            for (JsonObject s : objects(r, "traffic_split")) {
+                long weight = whole(s, "weight", -1);
+                if (weight < 0) {
+                    throw invalid(in + "a weight is missing or negative", "give whole weights from 0 up");
+                }
+                shares.add(new Share(text(s, "service", in), weight));
+            }
+        } else {
+            shares.add(new Share(text(r, "service", in), 1));
+        }
+        if (shares.stream().mapToLong(Share::weight).sum() <= 0) {
+            throw invalid(in + "its weights add up to 0", "give one of them a weight above 0");
+        }
+        String prefix = text(r, "path_prefix", in);
+        if (!prefix.startsWith("/") || !prefix.endsWith("/")) {
+            throw invalid(in + "path_prefix must begin and end with a slash", "mend the prefix");
+        }
+        long timeout = whole(r, "timeout_ms", 0);
+        if (timeout <= 0) {
+            throw invalid(in + "timeout_ms must be above 0", "give the longest time in milliseconds");
+        }
+        RouteType type;
+        try {
+            type = RouteType.valueOf(text(r, "route_type", in).toUpperCase(Locale.ROOT));
+        } catch (IllegalArgumentException e) {
+            throw invalid(in + "there is no such route_type", "use read_only, mutating or streaming");
+        }
+        return new Route(name, text(r, "hostname", in).toLowerCase(Locale.ROOT), prefix, type, timeout,
+                Math.max(1, whole(r, "target_latency_ms", timeout)), (int) whole(r, "priority", 0), List.copyOf(shares),
+                (int) Math.max(1, whole(r, "max_attempts", 1)), flag(r, "public"), flag(r, "session_affinity"),
+                flag(r, "resumable"), whole(r, "gap_aim_ms", 0));
+    }
+
+    private static Service service(JsonObject s) {
+        String name = name(s, "services");
+        JsonObject e = s.containsKey("engine") ? object(s.get("engine"), "engine") : JsonValue.EMPTY_JSON_OBJECT;
+        List<String> models = new ArrayList<>();
+        objects(e, "models").forEach(m -> models.add(name(m, "models")));
+        boolean store = s.containsKey("cache_store_address");
+        JsonObject kept = store ? s : e;
+        return new Service(name, s.getString("health_path", "/health"), positive(s, "max_connections", 64),
+                positive(e, "capacity", 8), List.copyOf(models), positive(kept, "max_concurrent", 4),
+                whole(kept, "cache_tokens", 0), whole(e, "cache_bytes", 0),
+                kept.get("bandwidth_mbps") instanceof JsonNumber n ? n.doubleValue() : 0,
+                s.getString("cache_store_address", null), s.getString("zone", null));
+    }
+
+    private static Tenant tenant(JsonObject t) {
+        List<String> keys = new ArrayList<>();
+        for (JsonValue key : array(t, "api_keys")) {
+            if (!(key instanceof JsonString s)) {
+                throw invalid("tenant " + name(t, "tenants") + ": api_keys holds what is no text", "list texts there");
+            }
+            keys.add(s.getString());
+        }
+        return new Tenant(name(t, "tenants"), List.copyOf(keys), (int) whole(t, "priority", 0), flag(t, "isolated"));
+    }
+
+    private static List<JsonObject> objects(JsonObject in, String name) {
+        List<JsonObject> all = new ArrayList<>();
+        array(in, name).forEach(v -> all.add(object(v, name)));
+        return all;
+    }
+
+    private static JsonArray array(JsonObject in, String name) {
+        JsonValue v = in.get(name);
+        if (v == null) {
+            return JsonValue.EMPTY_JSON_ARRAY;
+        }
+        if (v instanceof JsonArray a) {
+            return a;
+        }
+        throw invalid(name + " must be a list", "send a list there");
+    }
+
+    private static JsonObject object(JsonValue v, String name) {
+        if (v instanceof JsonObject o) {
+            return o;
+        }
+        throw invalid(name + " must hold objects", "send objects there");
+    }
+
+    private static String name(JsonObject o, String kind) {
+        return text(o, "name", kind + ": ");
+    }
+
+    private static String text(JsonObject o, String field, String in) {
+        if (o.get(field) instanceof JsonString s && !s.getString().isEmpty()) {
+            return s.getString();
+        }
+        throw invalid(in + field + " is missing", "give it as a text");
+    }
+
+    private static boolean flag(JsonObject o, String field) {
+        JsonValue v = o.getOrDefault(field, JsonValue.FALSE);
+        if (v != JsonValue.TRUE && v != JsonValue.FALSE) {
+            throw invalid(field + " must be true or false", "mend it");
+        }
+        return v == JsonValue.TRUE;
+    }
+
+    /** A whole number, or what stands for one that is missing. */
+    public static long whole(JsonObject o, String field, long otherwise) {
+        JsonValue v = o.get(field);
+        if (v == null) {
+            return otherwise;
+        }
+        if (v instanceof JsonNumber n && n.doubleValue() == Math.rint(n.doubleValue())
+                && Math.abs(n.doubleValue()) < 1e15) {
+            return n.longValue();
+        }
+        throw invalid(field + " must be a whole number", "mend it");
+    }
+
+    private static int positive(JsonObject o, String field, int otherwise) {
+        long n = whole(o, field, otherwise);
+        if (n < 1 || n > Integer.MAX_VALUE) {
+            throw invalid(field + " must be above 0", "mend it");
+        }
+        return (int) n;
+    }
+
+    private static Refusal invalid(String reason, String remedy) {
+        return new Refusal(Refusal.Code.CONFIG_INVALID, reason, remedy);
+    }
+
+    // ---- asking --------------------------------------------------------------------------------------
+
+    public long version() {
+        return version;
+    }
+
+    /** The document, as text. */
+    public byte[] bytes() {
+        return document.toString().getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** The route of a request; null if there is none. */
+    public Route route(String host, String path) {
+        List<Route> all = byHost.get(host);
+        if (all != null) {
+            for (Route r : all) {
+                if (path.startsWith(r.prefix())) {
+                    return r;
+                }
+            }
+        }
+        return null;
+    }
+
+    public List<Route> routes() {
+        return routes;
+    }
+
+    public Map<String, Service> services() {
+        return services;
+    }
+
+    public boolean hasTenants() {
+        return document.containsKey("tenants");
+    }
+
+    /** Whose key it is; null if nobody's. */
+    public Tenant tenant(String key) {
+        return byKey.get(key);
+    }
+
+    public Limits limits() {
+        return limits;
+    }
+}
--- /dev/null
+++ b/src/main/java/quartzspan/papers/Refusal.java
@@ -0,0 +1,51 @@
+package quartzspan.papers;
+
+/** What this system won't do, as a kind that programs read, a reason, and what would mend it. */
+public final class Refusal extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+
+    /** The kinds; {@code exit} is the exit status of a program that ends by one, {@code status} its HTTP status. */
+    public enum Code {
+        SETTINGS_MISSING(3, 500), SETTINGS_INVALID(3, 500), ADDRESS_TAKEN(4, 500), STORE_DAMAGED(5, 500),
+        STORE_REFUSES(5, 503), CONFIG_UNREADABLE(6, 400), CONFIG_INVALID(6, 400), CONFIG_STALE(7, 412),
+        NOT_PRIMARY(8, 503), MESSAGE_INVALID(9, 400);
+
+        private final int exit;
+        private final int status;
+
+        Code(int exit, int status) {
+            this.exit = exit;
+            this.status = status;
+        }
+
+        public int exit() {
+            return exit;
+        }
+
+        public int status() {
+            return status;
+        }
+    }
+
+    private final Code code;
+    private final String remedy;
+
+    public Refusal(Code code, String reason, String remedy) {
+        super(reason);
+        this.code = code;
+        this.remedy = remedy;
+    }
+
+    public Code code() {
+        return code;
+    }
+
+    public String remedy() {
+        return remedy;
+    }
+
+    @Override
+    public String toString() {
+        return code + ": " + getMessage() + "; " + remedy;
+    }
+}
--- /dev/null
+++ b/src/main/java/quartzspan/roster/Spread.java
@@ -0,0 +1,198 @@
+package quartzspan.roster;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * How what one process knows gets to the others, without clock or I/O: news go at once to a few, who pass on what was news to
+ * them; questions that carry digests find what was missed; and answers say how fresh the control state is. Who "the few"
+ * are, rendezvous hashing says ({@link Roster#few}).
+ */
+public final class Spread {
+    /** Time between questions to the core, and to other proxies. */
+    private static final long CORE_MS = 250;
+    private static final long PEER_MS = 500;
+    /** A question not answered in this time counts against whom it was put to. */
+    private static final long PATIENCE_MS = 400;
+    /** State older than this at a core machine is not good enough where another may have it fresher. */
+    private static final long STALE_MS = 900;
+    /** Who asked within this time is sent news at once. */
+    private static final long ASKED_MS = 1_500;
+    private static final int PEERS = 3;
+
+    /** Where messages go. */
+    public interface Out {
+        void send(String to, Tidings tidings);
+    }
+
+    private record Asked(String to, long at) { }
+
+    private final String self;
+    private final boolean core;
+    private List<String> seeds;
+    private final Roster roster;
+    private final Out out;
+    private final Map<Long, Asked> open = new LinkedHashMap<>();
+    private final Map<String, Long> askers = new HashMap<>();
+    private final Map<Long, Runnable> receipts = new HashMap<>();
+    /** How often in a row a core machine left a question without a good answer. */
+    private final Map<String, Integer> poor = new HashMap<>();
+    private long nonce;
+    private long coreAt;
+    private long peerAt;
+    private int turn;
+
+    /** @param seeds internal addresses of core machines to begin with */
+    public Spread(String self, boolean core, List<String> seeds, Roster roster, Out out) {
+        this.self = self;
+        this.core = core;
+        this.seeds = seeds;
+        this.roster = roster;
+        this.out = out;
+    }
+
+    /** Other core machines to begin with. */
+    public void seeds(List<String> changed) {
+        seeds = changed;
+    }
+
+    /** The core machines known, best first. */
+    public List<String> cores() {
+        List<String> all = new ArrayList<>(seeds);
+        for (Fact f : roster.all(Fact.Subject.CORE)) {
+            if (f.state() == Fact.State.READY && !all.contains(f.key())) {
+                all.add(f.key());
+            } else if (f.state() == Fact.State.GONE) {
+                all.remove(f.key());
+            }
+        }
+        List<String> ranked = new ArrayList<>(Roster.few(self, all, all.size()));
+        ranked.sort((a, b) -> poor.getOrDefault(a, 0) - poor.getOrDefault(b, 0));
+        return ranked;
+    }
+
+    /** The few other proxies that this process knows. */
+    public List<String> peers() {
+        List<String> proxies = roster.all(Fact.Subject.PROXY).stream().filter(f -> f.state() == Fact.State.READY)
+                .map(Fact::key).toList();
+        return Roster.few(self, proxies, PEERS);
+    }
+
+    /** To be called every 50 ms; {@code leader}: on a core machine, who is primary, if known and not itself. */
+    public void onTick(long now, String leader) {
+        open.entrySet().removeIf(e -> {
+            boolean late = now - e.getValue().at() > PATIENCE_MS;
+            if (late) {
+                poor.merge(e.getValue().to(), 1, Integer::sum);
+            }
+            return late;
+        });
+        if (now >= coreAt) {
+            coreAt = now + CORE_MS;
+            List<String> cores = cores();
+            if (leader != null) {
+                ask(now, leader);
+            } else if (!cores.isEmpty()) {
+                ask(now, cores.get(0));
+                // The first choice again, now and then: it may be well again.
+                if (poor.getOrDefault(cores.get(0), 0) > 0 && cores.size() > 1) {
+                    ask(now, cores.get(1 + turn++ % (cores.size() - 1)));
+                }
+            }
+        }
+        if (now >= peerAt) {
+            peerAt = now + PEER_MS;
+            List<String> peers = core ? cores() : peers();
+            if (!peers.isEmpty()) {
+                ask(now, peers.get(turn++ % peers.size()));
+            }
+            askers.values().removeIf(at -> now - at > ASKED_MS);
+            if (poor.size() > 0 && turn % 8 == 0) {
+                poor.replaceAll((k, v) -> v / 2);
+            }
+        }
+    }
+
+    private void ask(long now, String to) {
+        open.put(++nonce, new Asked(to, now));
+        out.send(to, roster.ask(now, nonce));
+    }
+
+    /** Something came; the news in it have been passed on already. */
+    public Roster.News onTidings(long now, String from, Tidings in) {
+        long askedAt = now;
+        switch (in.kind()) {
+            case ASK -> {
+                askers.put(from, now);
+                out.send(from, roster.answer(now, in));
+            }
+            case ANSWER -> {
+                Asked asked = open.remove(in.nonce());
+                Runnable receipt = receipts.remove(in.nonce());
+                if (receipt != null) {
+                    receipt.run();
+                }
+                if (asked != null) {
+                    askedAt = asked.at();
+                    poor.put(from, in.ageMs() < 0 || in.ageMs() > STALE_MS ? poor.getOrDefault(from, 0) + 1 : 0);
+                } else {
+                    askedAt = Long.MIN_VALUE / 4;
+                }
+                sendLacking(now, from, in);
+            }
+            default -> {
+                if (in.nonce() != 0) {
+                    out.send(from, new Tidings(Tidings.Kind.ANSWER, in.nonce(), -1, -1, -1, Tidings.UNCOMPARED, List.of(),
+                            Tidings.NOTHING));
+                }
+            }
+        }
+        Roster.News news = roster.take(now, in, askedAt);
+        if (news.any()) {
+            tell(now, news, from);
+        }
+        return news;
+    }
+
+    /** What the one who answered does not have, or has older. */
+    private void sendLacking(long now, String to, Tidings in) {
+        if (in.buckets().length != Roster.BUCKETS) {
+            return;
+        }
+        Tidings mine = roster.answer(now, in);
+        if (!mine.facts().isEmpty() || mine.ledger().length > 0) {
+            out.send(to, new Tidings(Tidings.Kind.NEWS, 0, -1, mine.ledgerEpoch(), mine.ledgerIndex(),
+                    Tidings.UNCOMPARED, mine.facts(), mine.ledger()));
+        }
+    }
+
+    /** Passes news on: to the few this process knows, to who asked it of late, and between core machines to all. */
+    public void tell(long now, Roster.News news, String not) {
+        List<String> to = new ArrayList<>(askers.keySet());
+        (core ? cores() : peers()).stream().filter(p -> !to.contains(p)).forEach(to::add);
+        Tidings t = roster.news(now, news.facts(), news.ledger());
+        for (String p : to) {
+            if (!p.equals(not) && !p.equals(self)) {
+                out.send(p, t);
+            }
+        }
+    }
+
+    /** Tells news, and says when the first other core machine has them: then they outlive this process. */
+    public void tellSurely(long now, Roster.News news, Runnable known) {
+        tell(now, news, null);
+        long receipt = ++nonce;
+        receipts.put(receipt, known);
+        Tidings t = roster.news(now, news.facts(), false);
+        for (String c : cores()) {
+            out.send(c, new Tidings(t.kind(), receipt, t.ageMs(), t.ledgerEpoch(), t.ledgerIndex(), t.buckets(), t.facts(),
+                    t.ledger()));
+        }
+        if (receipts.size() > 4096) {
+            receipts.clear();
+        }
+    }
+}
