--- a/src/main/java/mulleinfront/Logic.java
+++ b/src/main/java/mulleinfront/Logic.java
@@ -1,5 +1,7 @@
 package mulleinfront;
 
+import static mulleinfront.Ring.HASH;
+
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
@@ -218,7 +220,7 @@
         walk++;
         for (Endpoint e : entries) {
             Node n = nodes.computeIfAbsent(e.id(),
-                    id -> new Node(id, Ring.HASH.hashCharsToLong(id), FIRST_LIMIT));
+                    id -> new Node(id, HASH.hashCharsToLong(id), FIRST_LIMIT));
             n.seen = walk;
             if (e.availability() != Availability.GONE) {
                 update(n, e, now);
@@ -452,7 +454,7 @@
 
     /** The request's lot at an endpoint: drawn once, so that waiting does not change it. */
     private static double draw(Req r, Node n) {
-        return (Ring.HASH.hashLongLongToLong(r.order * 0x9e3779b97f4a7c15L ^ r.hash, n.hash) >>> 11) * 0x1p-53;
+        return (HASH.hashLongLongToLong(r.order * 0x9e3779b97f4a7c15L ^ r.hash, n.hash) >>> 11) * 0x1p-53;
     }
 
     private void learnFailure(Node n, Outcome outcome, long now) {
@@ -565,7 +567,7 @@
         if (open.containsKey(in.id()) || in.classIndex() < 0 || in.classIndex() >= usualLag.length) {
             return;
         }
-        long hash = in.key() != null ? Ring.HASH.hashCharsToLong(in.key()) : random.nextLong();
+        long hash = in.key() != null ? HASH.hashCharsToLong(in.key()) : random.nextLong();
         RequestClass type = settings.classes().get(in.classIndex());
         // An unmarked repeat shows by its budget: less than a whole try's of late, what patience is left.
         whole[in.classIndex()] = Math.max(in.budgetUs(), whole[in.classIndex()] * WHOLE_FADE);
