--- a/src/main/java/mulleinfront/Logic.java
+++ b/src/main/java/mulleinfront/Logic.java
@@ -1,7 +1,7 @@
 package mulleinfront;
 
-import com.dynatrace.hash4j.hashing.Hasher64;
-import com.dynatrace.hash4j.hashing.Hashing;
+import static mulleinfront.Ring.HASH;
+
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
@@ -131,8 +131,6 @@
     /** Shortest wait before discovery is asked again, microseconds; doubles, with jitter. */
     private static final long ASK_AGAIN_US = 250_000;
 
-    private static final Hasher64 HASH = Hashing.xxh3_64();
-
     // ---- state ---------------------------------------------------------------------------------------
 
     private final Settings settings;
@@ -221,7 +219,8 @@
         }
         walk++;
         for (Endpoint e : entries) {
-            Node n = nodes.computeIfAbsent(e.id(), id -> new Node(id, HASH.hashCharsToLong(id), FIRST_LIMIT));
+            Node n = nodes.computeIfAbsent(e.id(),
+                    id -> new Node(id, HASH.hashCharsToLong(id), FIRST_LIMIT));
             n.seen = walk;
             if (e.availability() != Availability.GONE) {
                 update(n, e, now);
@@ -278,9 +277,7 @@
         n.onRing = true;
         listed.add(n);
         long count = Math.max(FEWEST_POINTS, Math.min(MOST_POINTS, Math.round(POINTS * size(n))));
-        long[] points = new long[(int) count];
-        Arrays.setAll(points, k -> HASH.hashLongLongToLong(n.hash, k));
-        ring.add(n, points);
+        ring.add(n, Ring.points(n.hash, (int) count));
     }
 
     private void leave(Node n) {
