--- /dev/null
+++ b/src/test/java/quartzspan/bond/BondTest.java
@@ -0,0 +1,153 @@
+package quartzspan.bond;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.Function;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import quartzspan.papers.Refusal;
+
+/** What every disk must give a bond, and what a bond makes of disks that fail. */
+class BondTest {
+    @TempDir
+    Path folder;
+
+    private static byte[] bytes(int n, int length) {
+        byte[] b = new byte[length];
+        new SplittableRandom(n).nextBytes(b);
+        b[0] = (byte) n;
+        return b;
+    }
+
+    @Test
+    void theContractHoldsInMemory() {
+        MemoryDisk disk = new MemoryDisk();
+        contract(again -> disk);
+    }
+
+    @Test
+    void theContractHoldsInFiles() {
+        contract(again -> new FileDisk(folder.resolve("kept")));
+    }
+
+    private static void contract(Function<Boolean, Disk> disks) {
+        Bond bond = new Bond(disks.apply(false));
+        assertNull(bond.open().state());
+        assertThrows(IllegalStateException.class, () -> bond.append(bytes(1, 3)));
+        bond.checkpoint(bytes(1, 100));
+        bond.append(bytes(2, 5));
+        bond.append(bytes(3, 5_000));
+        Bond second = new Bond(disks.apply(true));
+        Bond.Contents found = second.open();
+        assertArrayEquals(bytes(1, 100), found.state());
+        assertEquals(2, found.records().size());
+        assertArrayEquals(bytes(3, 5_000), found.records().get(1));
+        second.append(bytes(4, 7));
+        second.checkpoint(bytes(5, 20));
+        second.append(bytes(6, 1));
+        second.checkpoint(bytes(7, 2_000));
+        Bond.Contents last = new Bond(disks.apply(true)).open();
+        assertArrayEquals(bytes(7, 2_000), last.state());
+        assertTrue(last.records().isEmpty());
+        Bond third = new Bond(disks.apply(true));
+        third.open();
+        third.discard();
+        assertNull(new Bond(disks.apply(true)).open().state());
+    }
+
+    /** What was done before power went is there; what was being done is there whole or not at all. */
+    @Test
+    void powerMayGoBetweenAnyTwoOperations() {
+        for (int after = 0; after < 45; after++) {
+            for (int seed = 0; seed < 40; seed++) {
+                MemoryDisk disk = new MemoryDisk();
+                disk.powerAfter = after;
+                List<byte[]> done = new ArrayList<>();
+                byte[] begun = null;
+                Bond bond = new Bond(disk);
+                bond.open();
+                try {
+                    for (int n = 1; n < 12; n++) {
+                        begun = bytes(n, 10 + 37 * n);
+                        if (n % 4 == 1) {
+                            bond.checkpoint(begun);
+                        } else {
+                            bond.append(begun);
+                        }
+                        done.add(begun);
+                        begun = null;
+                    }
+                } catch (MemoryDisk.Dark dark) {
+                    // What is there now is looked at below.
+                }
+                Bond.Contents found = new Bond(disk.after(new SplittableRandom(seed))).open();
+                List<byte[]> all = new ArrayList<>();
+                if (found.state() != null) {
+                    all.add(found.state());
+                }
+                all.addAll(found.records());
+                byte[] newest = all.isEmpty() ? null : all.get(all.size() - 1);
+                byte[] wanted = done.isEmpty() ? null : done.get(done.size() - 1);
+                boolean good = java.util.Arrays.equals(newest, wanted) || begun != null && java.util.Arrays.equals(newest, begun);
+                assertTrue(good, "power gone after " + after + ", seed " + seed);
+            }
+        }
+    }
+
+    @Test
+    void aFullDiskRefusesAndLosesNothing() {
+        MemoryDisk disk = new MemoryDisk();
+        Bond bond = new Bond(disk);
+        bond.open();
+        bond.checkpoint(bytes(1, 50));
+        bond.append(bytes(2, 50));
+        disk.full = true;
+        assertThrows(Refusal.class, () -> bond.append(bytes(3, 400)));
+        assertThrows(Refusal.class, () -> bond.checkpoint(bytes(4, 400)));
+        assertThrows(Refusal.class, () -> bond.append(bytes(5, 10)));
+        assertEquals(1, new Bond(disk).open().records().size());
+        disk.full = false;
+        bond.append(bytes(6, 9));
+        Bond.Contents found = new Bond(disk).open();
+        assertArrayEquals(bytes(1, 50), found.state());
+        assertEquals(2, found.records().size());
+        assertArrayEquals(bytes(6, 9), found.records().get(1));
+    }
+
+    /** Any bit of anything synced that turns over is seen: the older state is never passed off as the newest. */
+    @Test
+    void aFlippedBitIsSeen() {
+        MemoryDisk disk = new MemoryDisk();
+        Bond bond = new Bond(disk);
+        bond.open();
+        bond.checkpoint(bytes(1, 30));
+        bond.append(bytes(2, 20));
+        bond.append(bytes(3, 20));
+        int last = 8 + 28;
+        byte[] log = disk.raw("log");
+        for (int i = 8; i < log.length; i++) {
+            log[i] ^= 4;
+            if (i < last) {
+                assertThrows(Refusal.class, () -> new Bond(disk).open(), "byte " + i);
+            } else {
+                // The last record might as well have been torn, before it was answered for.
+                assertEquals(1, new Bond(disk).open().records().size());
+            }
+            log[i] ^= 4;
+        }
+        byte[] slot = disk.raw("slot-b");
+        for (int i = 0; i < slot.length; i++) {
+            slot[i] ^= 4;
+            assertThrows(Refusal.class, () -> new Bond(disk).open(), "byte " + i);
+            slot[i] ^= 4;
+        }
+    }
+}
