--- a/src/main/java/mulleinfront/Placement.java
+++ b/src/main/java/mulleinfront/Placement.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -22,6 +23,10 @@
     private static final int POINTS = 120;
     /** Bounded load: a server may have this multiple of its fair part of the work that is out. */
     private static final double BOUND = 1.35;
+    /** A server younger than this may lack what the next owner kept in its place. */
+    private static final long YOUNG_US = 12_000_000;
+    /** Keys of which is remembered who ran them last. */
+    private static final int MOST_KEYS = 8_192;
     /** Failed connections or answers in a row that make a server failing, and for how long at first and at most. */
     private static final int FAILURES = 2;
     private static final long ASIDE_US = 700_000;
@@ -62,6 +67,7 @@
         long fullUntil;
         double out;
         int seen;
+        long since;
 
         Node(String id, String service) {
             this.id = id;
@@ -82,6 +88,14 @@
     private int walk;
     private Node opening;
     private double tokens;
+    private final Map<String, String> lastOf = new LinkedHashMap<>(64, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, String> eldest) {
+            return size() > MOST_KEYS;
+        }
+    };
 
     public Placement(long seed, Connections connections) {
         this.random = new SplittableRandom(seed);
@@ -91,10 +105,11 @@
     // ---- servers -------------------------------------------------------------------------------------
 
     /** A server as last heard of; a new life of one has a new id. */
-    public void listed(String id, String service, boolean ready) {
+    public void listed(long now, String id, String service, boolean ready) {
         Node n = nodes.get(id);
         if (n == null) {
             n = new Node(id, service);
+            n.since = now;
             nodes.put(id, n);
             Group g = groups.computeIfAbsent(service, s -> new Group());
             g.ring.add(n, Ring.points(Ring.HASH.hashCharsToLong(id), POINTS));
@@ -200,6 +215,41 @@
     /** A request goes to a server. */
     public void sent(String server, Job job) {
         add(server, job.work());
+        if (job.key() != null) {
+            lastOf.put(job.key(), server);
+        }
+    }
+
+    /**
+     * The server that most likely keeps what a request shares with others, other than the one that is to run it: the key's
+     * owner; or, where that is the one, who ran the key last, or the next owner as long as the owner is new. To be asked
+     * before {@link #sent}. Null if there is none, or reading anew is as well.
+     */
+    public String source(long now, Job job, String server) {
+        Group g = groups.get(job.service());
+        if (job.key() == null || g == null) {
+            return null;
+        }
+        int from = g.ring.first(Ring.HASH.hashCharsToLong(job.key()));
+        Node owner = null;
+        Node next = null;
+        for (int k = 0; k < g.ring.size() && next == null; k++) {
+            Node n = g.ring.owner(from + k);
+            if (now < n.asideUntil || n == owner) {
+                continue;
+            }
+            next = owner == null ? null : n;
+            owner = owner == null ? n : owner;
+        }
+        if (owner == null || !owner.id.equals(server) && now - owner.since > YOUNG_US) {
+            return owner == null ? null : owner.id;
+        }
+        Node last = nodes.get(lastOf.getOrDefault(job.key(), server));
+        if (last != null && !last.id.equals(server) && now >= last.asideUntil) {
+            return last.id;
+        }
+        return !owner.id.equals(server) ? owner.id
+                : next != null && now - owner.since < YOUNG_US ? next.id : null;
     }
 
     private void add(String server, double work) {
--- a/src/main/java/quartzspan/crossing/Crossing.java
+++ b/src/main/java/quartzspan/crossing/Crossing.java
@@ -79,6 +79,8 @@
     private final SplittableRandom random = new SplittableRandom(System.nanoTime());
     private final Map<String, Upstream.Host> hosts = new HashMap<>();
     private final Map<String, String> addresses = new HashMap<>();
+    /** Version of the weights of each server, as last heard or seen. */
+    private final Map<String, Long> weights = new HashMap<>();
     private final Set<Passage> open = new HashSet<>();
     private final CountDownLatch ended = new CountDownLatch(1);
     private long leavingAt = Long.MAX_VALUE;
@@ -204,6 +206,22 @@
         return hosts.get(server);
     }
 
+    /** Version of a server's weights; 0 if unknown. */
+    long weights(String server) {
+        return weights.getOrDefault(server, 0L);
+    }
+
+    /** A server turned a request away for its weights: it has others by now, most likely those that were named last. */
+    void reweighed(String server, String model) {
+        weights.put(server, weights(server) == 0 ? 0L : Math.max(weights(server),
+                roster.ledger().weights().getOrDefault(model, 0L)));
+    }
+
+    /** Where a server is reached, as a text; null if it is gone. */
+    String address(String server) {
+        return addresses.get(server);
+    }
+
     void done(Passage passage) {
         open.remove(passage);
     }
@@ -276,6 +294,7 @@
                 upstream.hangUp(host);
                 hosts.remove(s.id());
                 addresses.remove(s.id());
+                weights.remove(s.id());
             }
             return;
         }
@@ -289,7 +308,8 @@
         }
         host.listed(new InetSocketAddress(s.address().substring(0, colon),
                 (int) Framing.number(s.address().substring(colon + 1))), ready, most);
-        placement.listed(s.id(), s.service(), ready);
+        placement.listed(now(), s.id(), s.service(), ready);
+        weights.put(s.id(), s.weights());
     }
 
     private int proxies() {
@@ -330,9 +350,6 @@
             call.headers().set("X-Tenant", tenant.name());
         }
         boolean walled = tenant != null && tenant.isolated();
-        if (walled) {
-            call.headers().set("Cache-Salt", "w" + tenant.name());
-        }
         if (route.affine()) {
             call.headers().set("Priority", Math.min(9, 3 * Math.max(0, tenant == null ? 0 : tenant.priority())
                     + Math.max(0, route.priority())));
@@ -340,7 +357,8 @@
         long deadlineMs = Framing.number(h.get("X-Deadline-Ms"));
         long endAt = at + 1000 * Math.min(deadlineMs < 1 ? route.timeoutMs() : deadlineMs, route.timeoutMs());
         placement.came(settings.bounds().retryBudgetRatio(), settings.bounds().retryAllowance(), proxies());
-        Passage passage = new Passage(this, client, route, job(route, h, walled ? tenant.name() : ""), call, endAt);
+        Passage passage = new Passage(this, client, route, job(route, h, walled ? tenant.name() : ""), call, endAt,
+                walled ? "w" + tenant.name() : "");
         open.add(passage);
         passage.start();
     }
--- a/src/main/java/quartzspan/crossing/Passage.java
+++ b/src/main/java/quartzspan/crossing/Passage.java
@@ -35,7 +35,11 @@
     private final Call call;
     private final String attemptId;
     private final long endAt;
+    /** What keeps apart what tenants may not share; empty where all do. */
+    private final String wall;
     private final Set<String> tried = new HashSet<>();
+    /** Servers that it reached. */
+    private final Set<String> reached = new HashSet<>();
     private int sends;
     private boolean mayHaveRun;
     private boolean begun;
@@ -44,7 +48,9 @@
     private Upstream.Attempt attempt;
     private HttpResponse head;
 
-    Passage(Crossing crossing, Frontend.Client client, Route route, Job job, Call call, long endAt) {
+    Passage(Crossing crossing, Frontend.Client client, Route route, Job job, Call call, long endAt,
+            String wall) {
+        this.wall = wall;
         this.crossing = crossing;
         this.client = client;
         this.route = route;
@@ -70,12 +76,33 @@
         server = to;
         head = null;
         HttpHeaders headers = new DefaultHttpHeaders().set(call.headers()).set("X-Expected-Instance", to);
+        kept(headers, to);
         crossing.placement().sent(to, job);
         attempt = crossing.upstream().attempt(host, new Call(call.method(), call.uri(), headers, call.body()), left,
                 () -> !over, this, this::ended);
         attempt.start();
     }
 
+    /**
+     * What a server may use of what was kept, and where from. Parts are made under a salt of the weights' version and the
+     * wall, and a server of another version by now turns the request away: so nothing is ever used under other weights.
+     */
+    private void kept(HttpHeaders headers, String to) {
+        long weights = crossing.weights(to);
+        if (weights == 0) {
+            if (!wall.isEmpty()) {
+                headers.set("Cache-Salt", wall);
+            }
+            return;
+        }
+        headers.set("Cache-Salt", "v" + weights + wall).set("Expect-Version", weights);
+        String source = crossing.placement().source(crossing.now(), job, to);
+        String address = source == null || crossing.weights(source) != weights ? null : crossing.address(source);
+        if (address != null) {
+            headers.set("Kv-Fetch", address);
+        }
+    }
+
     private void left() {
         if (!over) {
             over = true;
@@ -158,12 +185,22 @@
         }
         tried.add(server);
         boolean arrived = outcome != Outcome.CONNECT_ERROR && outcome != Outcome.IGNORED;
-        sends += arrived ? 1 : 0;
+        if (arrived) {
+            reached.add(server);
+            sends++;
+        }
         mayHaveRun |= !outcome.neverRan();
         if (head != null && head.status().code() == 421) {
-            crossing.placement().moved(crossing.now(), server);
+            if (server.equals(head.headers().get("X-Instance-Id"))) {
+                tried.remove(server);
+                crossing.reweighed(server, call.headers().get("X-Model"));
+            } else {
+                crossing.placement().moved(crossing.now(), server);
+            }
         }
-        boolean again = (!mayHaveRun || route.repeatable()) && sends < route.maxAttempts() && tried.size() < 8
+        // The same server again is no further server: it has only changed its weights.
+        boolean again = (!mayHaveRun || route.repeatable())
+                && (tried.contains(server) ? reached.size() < route.maxAttempts() : sends < 3) && tried.size() < 8
                 && (!arrived || crossing.placement().mayRepeat());
         if (outcome == Outcome.FAILED && answer != null) {
             // The server's own word: it ran, and this is what came of it.
