Start: class archive made by a rehearsal of the whole fleet; index of kept prompts; loading servers avoided

A fleet of one core machine never confirmed its own beat, so it deposed itself for ever: found by the rehearsal.

--- a/src/main/java/mulleinfront/Placement.java
+++ b/src/main/java/mulleinfront/Placement.java
@@ -25,6 +25,8 @@
     private static final double BOUND = 1.35;
     /** A server younger than this may lack what the next owner kept in its place. */
     private static final long YOUNG_US = 12_000_000;
+    /** Tokens that are worth a move: fewer are read as fast. */
+    private static final long WORTH_MOVING = 100;
     /** Keys of which is remembered who ran them last. */
     private static final int MOST_KEYS = 8_192;
     /** Failed connections or answers in a row that make a server failing, and for how long at first and at most. */
@@ -50,6 +52,12 @@
         }
     }
 
+    /** What the index of kept prompts says of a request. */
+    public interface Kept {
+        /** Tokens of its prompt that a server keeps, under the weights and wall at hand. */
+        long tokens(String server);
+    }
+
     /** What the proxy knows of its connections. */
     public interface Connections {
         boolean connected(String server);
@@ -61,6 +69,7 @@
         final String id;
         final String service;
         boolean ready;
+        boolean busy;
         int failures;
         long asideUntil;
         long asideFor = ASIDE_US;
@@ -104,8 +113,8 @@
 
     // ---- servers -------------------------------------------------------------------------------------
 
-    /** A server as last heard of; a new life of one has a new id. */
-    public void listed(long now, String id, String service, boolean ready) {
+    /** A server as last heard of, and whether it is busy with other than requests; a new life of one has a new id. */
+    public void listed(long now, String id, String service, boolean ready, boolean busy) {
         Node n = nodes.get(id);
         if (n == null) {
             n = new Node(id, service);
@@ -121,6 +130,7 @@
             n.asideUntil = 0;
         }
         n.ready = ready;
+        n.busy = busy;
     }
 
     /** A server that is no more. */
@@ -181,7 +191,7 @@
             if (!n.ready || tried.contains(n.id) || !connections.reachable(n.id)) {
                 continue;
             }
-            if (now < n.asideUntil) {
+            if (now < n.asideUntil || n.busy) {
                 failing = failing == null ? n : failing;
                 continue;
             }
@@ -221,15 +231,32 @@
     }
 
     /**
-     * The server that most likely keeps what a request shares with others, other than the one that is to run it: the key's
-     * owner; or, where that is the one, who ran the key last, or the next owner as long as the owner is new. To be asked
-     * before {@link #sent}. Null if there is none, or reading anew is as well.
+     * The server from which another is to fetch what it lacks of a prompt: who keeps the most by the index; where the index
+     * knows of nobody, who most likely does: the key's owner, or who ran the key last, or the next owner as long as the
+     * owner is new. To be asked before {@link #sent}. Null if there is none, or reading anew is as well.
      */
-    public String source(long now, Job job, String server) {
+    public String source(long now, Job job, String server, Kept kept) {
         Group g = groups.get(job.service());
         if (job.key() == null || g == null) {
             return null;
         }
+        long most = kept.tokens(server) + WORTH_MOVING;
+        Node best = null;
+        for (Node n : nodes.values()) {
+            if (n.service.equals(job.service()) && !n.id.equals(server) && now >= n.asideUntil) {
+                long has = kept.tokens(n.id);
+                if (has > most || has == most && best != null && n.out < best.out) {
+                    most = has;
+                    best = n;
+                }
+            }
+        }
+        if (best != null) {
+            return best.id;
+        }
+        if (most > WORTH_MOVING) {
+            return null;
+        }
         int from = g.ring.first(Ring.HASH.hashCharsToLong(job.key()));
         Node owner = null;
         Node next = null;
--- a/src/main/java/quartzspan/crossing/Crossing.java
+++ b/src/main/java/quartzspan/crossing/Crossing.java
@@ -40,6 +40,8 @@
 import quartzspan.roster.Server;
 import quartzspan.roster.Spread;
 import quartzspan.roster.Tidings;
+import quartzspan.warehouse.Consignment;
+import quartzspan.warehouse.Stock;
 import quartzspan.waybill.Carrier;
 import quartzspan.waybill.Waybill.Hello;
 
@@ -81,19 +83,20 @@
     private final Map<String, String> addresses = new HashMap<>();
     /** Version of the weights of each server, as last heard or seen. */
     private final Map<String, Long> weights = new HashMap<>();
+    private final Stock stock = new Stock();
     private final Set<Passage> open = new HashSet<>();
     private final CountDownLatch ended = new CountDownLatch(1);
     private long leavingAt = Long.MAX_VALUE;
     private boolean ready;
 
-    private Crossing(Settings settings, EventLoopGroup group, EventLoop loop) {
+    private Crossing(Settings settings, List<String> seeds, EventLoopGroup group, EventLoop loop) {
         this.settings = settings;
         this.group = group;
         this.loop = loop;
         String self = text(settings.internal());
         this.upstream = new Upstream(loop, DIAL_US, IDLE_US, Math.max(64, (settings.descriptors() - OWN_DESCRIPTORS) / 3));
         this.carrier = new Carrier(loop, new Hello(false, self, "", settings.zone()), this::received);
-        this.spread = new Spread(self, false, seeds(settings), roster, carrier::send);
+        this.spread = new Spread(self, false, seeds, roster, carrier::send);
         this.frontend = new Frontend(this, loop);
         this.placement = new Placement(System.nanoTime(), new Placement.Connections() {
             @Override
@@ -135,10 +138,19 @@
     }
 
     /** Starts to serve; returns once it listens. It is ready when it has a configuration that is surely the newest. */
-    static Crossing start(Settings settings) throws Exception {
+    public static Crossing start(Settings settings) throws Exception {
+        return start(settings, seeds(settings));
+    }
+
+    /** The same, with internal addresses of core machines in place of the settings' seeds. */
+    public static Crossing start(Settings settings, String... cores) throws Exception {
+        return start(settings, List.of(cores));
+    }
+
+    private static Crossing start(Settings settings, List<String> seeds) throws Exception {
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         EventLoop loop = group.next();
-        Crossing c = loop.submit(() -> new Crossing(settings, group, loop)).get();
+        Crossing c = loop.submit(() -> new Crossing(settings, seeds, group, loop)).get();
         for (ChannelFuture f : List.of(c.carrier.listen(settings.internal()),
                 loop.submit(() -> c.readiness.listen(settings.listens("readiness"))).get(),
                 loop.submit(() -> c.frontend.listen(settings.listens("frontend"))).get())) {
@@ -183,6 +195,11 @@
         }
     }
 
+    /** Ends at once. */
+    public void stop() {
+        group.shutdownGracefully(0, 200, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+    }
+
     // ---- what others need ----------------------------------------------------------------------------
 
     @Override
@@ -217,6 +234,10 @@
                 roster.ledger().weights().getOrDefault(model, 0L)));
     }
 
+    Stock stock() {
+        return stock;
+    }
+
     /** Where a server is reached, as a text; null if it is gone. */
     String address(String server) {
         return addresses.get(server);
@@ -270,6 +291,9 @@
     }
 
     private void received(Hello from, Object message) {
+        if (message instanceof Consignment c && c.kind() != Consignment.Kind.ASK && stock.take(c)) {
+            carrier.send(from.address(), new Consignment(Consignment.Kind.ASK, c.server(), 0, 0, new long[0], new int[0]));
+        }
         if (!(message instanceof Tidings tidings)) {
             return;
         }
@@ -295,6 +319,7 @@
                 hosts.remove(s.id());
                 addresses.remove(s.id());
                 weights.remove(s.id());
+                stock.forget(s.id());
             }
             return;
         }
@@ -308,7 +333,7 @@
         }
         host.listed(new InetSocketAddress(s.address().substring(0, colon),
                 (int) Framing.number(s.address().substring(colon + 1))), ready, most);
-        placement.listed(now(), s.id(), s.service(), ready);
+        placement.listed(now(), s.id(), s.service(), ready, s.loading() > 0);
         weights.put(s.id(), s.weights());
     }
 
@@ -358,7 +383,7 @@
         long endAt = at + 1000 * Math.min(deadlineMs < 1 ? route.timeoutMs() : deadlineMs, route.timeoutMs());
         placement.came(settings.bounds().retryBudgetRatio(), settings.bounds().retryAllowance(), proxies());
         Passage passage = new Passage(this, client, route, job(route, h, walled ? tenant.name() : ""), call, endAt,
-                walled ? "w" + tenant.name() : "");
+                new Prompt(h.get("X-Prompt-Prefix"), h.get("X-Model", ""), walled ? "w" + tenant.name() : ""));
         open.add(passage);
         passage.start();
     }
--- a/src/main/java/quartzspan/crossing/Passage.java
+++ b/src/main/java/quartzspan/crossing/Passage.java
@@ -35,8 +35,9 @@
     private final Call call;
     private final String attemptId;
     private final long endAt;
-    /** What keeps apart what tenants may not share; empty where all do. */
-    private final String wall;
+    private final Prompt prompt;
+    /** What the prompt's parts are named at the server that runs it. */
+    private long[] parts = {};
     private final Set<String> tried = new HashSet<>();
     /** Servers that it reached. */
     private final Set<String> reached = new HashSet<>();
@@ -49,8 +50,8 @@
     private HttpResponse head;
 
     Passage(Crossing crossing, Frontend.Client client, Route route, Job job, Call call, long endAt,
-            String wall) {
-        this.wall = wall;
+            Prompt prompt) {
+        this.prompt = prompt;
         this.crossing = crossing;
         this.client = client;
         this.route = route;
@@ -90,13 +91,17 @@
     private void kept(HttpHeaders headers, String to) {
         long weights = crossing.weights(to);
         if (weights == 0) {
-            if (!wall.isEmpty()) {
-                headers.set("Cache-Salt", wall);
+            if (!prompt.wall().isEmpty()) {
+                headers.set("Cache-Salt", prompt.wall());
             }
             return;
         }
-        headers.set("Cache-Salt", "v" + weights + wall).set("Expect-Version", weights);
-        String source = crossing.placement().source(crossing.now(), job, to);
+        String salt = "v" + weights + prompt.wall();
+        headers.set("Cache-Salt", salt).set("Expect-Version", weights);
+        long[] names = prompt.parts(salt);
+        parts = names;
+        String source = crossing.placement().source(crossing.now(), job, to, server -> crossing.weights(server) != weights
+                ? 0 : crossing.stock().kept(server, names, prompt.tokens()));
         String address = source == null || crossing.weights(source) != weights ? null : crossing.address(source);
         if (address != null) {
             headers.set("Kv-Fetch", address);
@@ -141,6 +146,9 @@
         }
         begun = true;
         crossing.placement().answering(server);
+        for (int i = 0; i < parts.length; i++) {
+            crossing.stock().saw(server, parts[i], (int) prompt.tokens()[i]);
+        }
         HttpResponse out = new DefaultHttpResponse(HttpVersion.HTTP_1_1, answer.status(), passedOn(answer.headers()));
         client.begin(out);
         return true;
--- a/src/main/java/quartzspan/customhouse/Customhouse.java
+++ b/src/main/java/quartzspan/customhouse/Customhouse.java
@@ -45,6 +45,9 @@
 import quartzspan.roster.Server;
 import quartzspan.roster.Spread;
 import quartzspan.roster.Tidings;
+import quartzspan.warehouse.Consignment;
+import quartzspan.warehouse.Stock;
+import quartzspan.warehouse.Watch;
 import quartzspan.waybill.Carrier;
 import quartzspan.waybill.Waybill.Hello;
 
@@ -66,7 +69,12 @@
     private static final long SURE_PLACE_MS = 450;
     private static final int DIAL_US = 500_000;
     private static final int ORDER_US = 2_000_000;
-    private static final int REPORT_EVERY_MS = 300;
+    private static final int REPORT_EVERY_MS = 250;
+    /** Between telling that a server will load weights and ordering it to. */
+    private static final long TOLD_MS = 60;
+    private static final long WATCH_MS = 100;
+    /** A core machine not heard for so long follows no server's events any more. */
+    private static final long CORE_ALIVE_MS = 1_500;
 
     private final Settings settings;
     private final Clock clock = new Clock();
@@ -90,9 +98,14 @@
     private boolean claiming;
     private long dutySince = Long.MAX_VALUE / 2;
     private long orders;
-    private long touchedAt = Long.MIN_VALUE / 2;
+    private final Stock stock = new Stock();
+    /** Servers whose events this machine follows. */
+    private final Map<String, Watch> watches = new HashMap<>();
+    private final Map<String, Long> coreHeard = new HashMap<>();
+    private long watchAt;
     private final Map<String, Long> reportAt = new HashMap<>();
     private String lastRole = "";
+    private final Map<String, Upstream.Host> hosts = new HashMap<>();
 
     private interface Waiting {
         void done(Refusal why, Ledger ledger);
@@ -247,7 +260,6 @@
                 spread.cores().forEach(c -> carrier.send(c, t));
             }
             if (now - roster.freshAt() > IN_TOUCH_MS) {
-                touchedAt = now;
                 registry.excuse(now);
             } else {
                 List<Fact> lost = registry.lost(now);
@@ -259,6 +271,10 @@
             roster.tidy(now);
             carrier.tidy(10_000);
             duty(now);
+            if (now >= watchAt) {
+                watchAt = now + WATCH_MS;
+                watch(now);
+            }
         } catch (RuntimeException e) {
             LOG.error("a turn failed", e);
         }
@@ -266,7 +282,12 @@
 
     private void received(Hello from, Object message) {
         long now = ms();
-        if (message instanceof Letter letter && from.core()) {
+        if (from.core()) {
+            coreHeard.put(from.address(), now);
+        }
+        if (message instanceof Consignment c) {
+            onConsignment(from, c);
+        } else if (message instanceof Letter letter && from.core()) {
             docket.onLetter(now, from.address(), letter);
         } else if (message instanceof Tidings tidings) {
             if (tidings.kind() == Tidings.Kind.HEARD) {
@@ -274,10 +295,7 @@
                 return;
             }
             if (!from.core()) {
-                Fact news = registry.proxy(now, from.address(), from.zone());
-                if (news != null) {
-                    spread.tell(now, new Roster.News(List.of(news), false), null);
-                }
+                tell(registry.proxy(now, from.address(), from.zone()));
             }
             spread.onTidings(now, from.address(), tidings);
         }
@@ -302,19 +320,18 @@
             weights = Manifest.whole(models.getJsonObject(0), "version", 0);
         }
         String text = Server.text(o.getString("service", ""), o.getString("address", ""), o.getString("zone", ""), model,
-                weights);
-        if (Server.of(new Fact(Fact.Subject.SERVER, id, 0, Fact.State.READY, text)) == null) {
+                weights, 0);
+        Server said = Server.of(new Fact(Fact.Subject.SERVER, id, 0, Fact.State.READY, text));
+        if (said == null) {
             throw new Refusal(Refusal.Code.MESSAGE_INVALID, "a heartbeat can't be read", "send it as the page says");
         }
         boolean draining = state.equals("draining");
         Fact news = registry.beat(ms(), id, Manifest.whole(o, "call_count", 0),
-                draining ? Fact.State.DRAINING : Fact.State.READY, text);
+                draining ? Fact.State.DRAINING : Fact.State.READY, said);
         if (draining) {
             surely(client, news != null ? news : roster.fact(Fact.Subject.SERVER, id));
         } else {
-            if (news != null) {
-                spread.tell(ms(), new Roster.News(List.of(news), false), null);
-            }
+            tell(news);
             Calls.ok(client);
         }
     }
@@ -467,12 +484,22 @@
         if (now < dutySince || now - docket.confirmedAt() > SURE_PLACE_MS) {
             return;
         }
+        hosts.keySet().removeIf(id -> {
+            Fact f = roster.fact(Fact.Subject.SERVER, id);
+            return f == null || f.state() == Fact.State.GONE;
+        });
         List<Server> servers = new ArrayList<>();
         roster.all(Fact.Subject.SERVER).forEach(f -> servers.add(Server.of(f)));
         servers.removeIf(Objects::isNull);
         for (Rollout.Order o : rollout.due(now, ledger.weights(), servers)) {
             rollout.ordered(now, o.server().id());
-            order(o);
+            tell(registry.weighs(now, o.server().id(), o.server().text(o.server().weights(), o.version())));
+            // Proxies have time to hear that it will take nothing for a while.
+            loop.schedule(() -> {
+                if (docket.primary() && ms() - docket.confirmedAt() < SURE_PLACE_MS) {
+                    order(o);
+                }
+            }, TOLD_MS, TimeUnit.MILLISECONDS);
         }
         for (String id : rollout.under(now)) {
             if (now >= reportAt.getOrDefault(id, 0L)) {
@@ -483,6 +510,12 @@
         reportAt.keySet().removeIf(id -> now - reportAt.get(id) > 10_000);
     }
 
+    private void tell(Fact news) {
+        if (news != null) {
+            spread.tell(ms(), new Roster.News(List.of(news), false), null);
+        }
+    }
+
     /** The whole answer of a server, whatever it is. */
     private static final class Plain implements Upstream.Reading {
         private int status;
@@ -507,7 +540,7 @@
         JsonLines.quote(json, settings.nodeName());
         json.append(",\"fencing_token\":").append(token).append('}');
         reportAt.put(o.server().id(), ms() + REPORT_EVERY_MS);
-        call(o.server(), "POST", "/quartzspan/order", json.toString(), (status, body) -> {
+        call(o.server(), "POST", "/quartzspan/order", json.toString(), Map.of(), (status, body) -> {
             if (status == 409 || status >= 500) {
                 rollout.refused(ms(), o.server().id());
             }
@@ -515,27 +548,106 @@
     }
 
     private void report(Server s) {
-        call(s, "GET", "/quartzspan/report", "", (status, body) -> {
+        call(s, "GET", "/quartzspan/report", "", Map.of(), (status, body) -> {
             if (status == 200) {
                 JsonObject o = Manifest.json(body);
                 if (!o.getBoolean("busy", false) && o.get("models") instanceof JsonArray models && !models.isEmpty()) {
-                    Fact news = registry.weighs(ms(), s.id(), Server.text(s.service(), s.address(), s.zone(),
-                            models.getJsonObject(0).getString("name", ""),
-                            Manifest.whole(models.getJsonObject(0), "version", 0)));
-                    if (news != null) {
-                        spread.tell(ms(), new Roster.News(List.of(news), false), null);
-                    }
+                    tell(registry.weighs(ms(), s.id(), s.text(Manifest.whole(models.getJsonObject(0), "version", 0),
+                            s.loading())));
                 }
             }
         });
     }
 
+    // ---- what servers keep ---------------------------------------------------------------------------
+
+    /** Each server's events are followed by one core machine of those that are heard: all work out the same one. */
+    private void watch(long now) {
+        coreHeard.values().removeIf(at -> now - at > CORE_ALIVE_MS);
+        List<String> cores = new ArrayList<>(coreHeard.keySet());
+        cores.add(self);
+        Map<String, Server> there = new HashMap<>();
+        for (Fact f : roster.all(Fact.Subject.SERVER)) {
+            Server s = Server.of(f);
+            if (s != null && !s.model().isEmpty() && f.state() != Fact.State.GONE && f.state() != Fact.State.LOST) {
+                there.put(s.id(), s);
+            }
+        }
+        watches.keySet().removeIf(id -> !there.containsKey(id) || !watcher(id, cores).equals(self));
+        for (Server s : there.values()) {
+            if (watcher(s.id(), cores).equals(self)) {
+                ask(now, s, watches.computeIfAbsent(s.id(), id -> new Watch(id, System.nanoTime())));
+            }
+        }
+    }
+
+    private static String watcher(String server, List<String> cores) {
+        return Roster.few(server, cores, 1).get(0);
+    }
+
+    private void ask(long now, Server s, Watch w) {
+        switch (w.due(now)) {
+            case EVENTS -> call(s, "GET", "/quartzspan/kv-events?since=" + w.since(), "", Map.of("Wait-Ms", "1000"),
+                    (status, body) -> {
+                        if (status != 200) {
+                            w.failed(ms());
+                            return;
+                        }
+                        JsonObject o = Manifest.json(body);
+                        List<Watch.Event> events = new ArrayList<>();
+                        for (JsonArray e : o.getJsonArray("events").getValuesAs(JsonArray.class)) {
+                            events.add(new Watch.Event(e.getString(2), e.getString(3), e.getInt(4), e.getString(5)));
+                        }
+                        publish(w.events(ms(), Manifest.whole(o, "epoch", 0), Manifest.whole(o, "next_token", 0),
+                                o.getBoolean("lost", false), events));
+                    });
+            case LIST -> call(s, "GET", "/quartzspan/kv-list", "", Map.of(), (status, body) -> {
+                if (status != 200) {
+                    w.failed(ms());
+                    return;
+                }
+                JsonObject o = Manifest.json(body);
+                List<Watch.Event> held = new ArrayList<>();
+                for (JsonArray e : o.getJsonArray("held").getValuesAs(JsonArray.class)) {
+                    held.add(new Watch.Event(e.getString(0), e.getString(1), e.getInt(2), e.getString(3)));
+                }
+                publish(List.of(w.list(ms(), Manifest.whole(o, "epoch", 0), Manifest.whole(o, "next_token", 0), held)));
+            });
+            default -> { }
+        }
+    }
+
+    private void publish(List<Consignment> reports) {
+        for (Consignment c : reports) {
+            stock.take(c);
+            spread.cores().forEach(to -> carrier.send(to, c));
+            spread.askers().forEach(to -> carrier.send(to, c));
+        }
+    }
+
+    private void onConsignment(Hello from, Consignment c) {
+        if (c.kind() == Consignment.Kind.ASK) {
+            Consignment whole = stock.whole(c.server());
+            if (whole != null) {
+                carrier.send(from.address(), whole);
+            }
+            return;
+        }
+        if (stock.take(c)) {
+            carrier.send(from.address(), new Consignment(Consignment.Kind.ASK, c.server(), 0, 0, new long[0], new int[0]));
+        } else if (from.core()) {
+            List<String> cores = spread.cores();
+            spread.askers().stream().filter(a -> !cores.contains(a)).forEach(to -> carrier.send(to, c));
+        }
+    }
+
     private interface Answered {
         void answered(int status, byte[] body);
     }
 
-    private void call(Server s, String method, String path, String body, Answered then) {
-        Upstream.Host host = new Upstream.Host(s.id());
+    private void call(Server s, String method, String path, String body, Map<String, String> more, Answered then) {
+        // The connection is kept: a new one costs the server as much as a small request.
+        Upstream.Host host = hosts.computeIfAbsent(s.id(), Upstream.Host::new);
         int colon = s.address().lastIndexOf(':');
         host.listed(new InetSocketAddress(s.address().substring(0, colon),
                 Integer.parseInt(s.address().substring(colon + 1))), true, 4);
@@ -544,10 +656,10 @@
         if (!body.isEmpty()) {
             headers.set("Content-Type", "application/json");
         }
+        more.forEach(headers::set);
         Plain reading = new Plain();
         upstream.attempt(host, new Call(method, path, headers, body.getBytes(StandardCharsets.UTF_8)), ORDER_US, () -> true,
                 reading, (outcome, answer) -> {
-                    upstream.hangUp(host);
                     try {
                         then.answered(answer == null ? 0 : reading.status, answer == null ? new byte[0] : answer.body());
                     } catch (RuntimeException e) {
--- a/src/main/java/quartzspan/docket/Docket.java
+++ b/src/main/java/quartzspan/docket/Docket.java
@@ -165,8 +165,8 @@
                 blank = true;
             }
         }
-        // One that starts may have heard the primary just before it ended.
-        heardAt = now;
+        // A primary that lives is heard within a beat or two; after a loss of power of all nobody has to be waited for.
+        heardAt = now - SILENCE_MS + 2 * BEAT_MS;
         follow(now);
     }
 
@@ -308,7 +308,7 @@
     private void follow(long now) {
         phase = Phase.FOLLOWING;
         phaseAt = now;
-        standAfter = now + random.nextLong(SPREAD_MS);
+        standAfter = now + random.nextLong(SPREAD_MS / (view.copies().contains(self) ? 2 : 1));
         answers.clear();
         synced.clear();
         wantedVoters = null;
@@ -591,6 +591,8 @@
             }
         }
         standing.keySet().forEach(s -> out.send(s, beat));
+        // Where there is one voter, that is a majority.
+        confirmed(now);
     }
 
     private void confirmed(long now) {
--- /dev/null
+++ b/src/main/java/quartzspan/rehearsal/Main.java
@@ -0,0 +1,156 @@
+package quartzspan.rehearsal;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.stream.Stream;
+import mulleinfront.proxy.Frontend;
+import mulleinfront.proxy.Upstream;
+import quartzspan.crossing.Crossing;
+import quartzspan.customhouse.Customhouse;
+import quartzspan.papers.Settings;
+
+/**
+ * For the build: starts a core machine, a proxy and a stand-in server on loopback in one process, carries a few requests and
+ * ends. Meanwhile the JVM notes which classes a start needs, so that the deployed programs have them at hand.
+ */
+public final class Main {
+    private static final String BODY = "data: done\n\n";
+
+    private Main() { }
+
+    /** Takes no arguments; ends with a status above 0 if the fleet does not carry a request. */
+    public static void main(String[] args) throws Exception {
+        Path folder = Files.createTempDirectory("rehearsal");
+        try {
+            rehearse(folder);
+        } finally {
+            try (Stream<Path> all = Files.walk(folder)) {
+                all.sorted(Comparator.reverseOrder()).forEach(p -> p.toFile().delete());
+            }
+        }
+        System.exit(0);
+    }
+
+    private static void rehearse(Path folder) throws Exception {
+        int[] ports = ports(6);
+        Settings core = Settings.parse(settings("core", "control_plane: \"127.0.0.1:" + ports[0] + "\"", ports[1], ports[0],
+                "\"" + folder + "\""));
+        // A machine's internal port is the same everywhere; two processes on one address need two.
+        Customhouse house = Customhouse.start(core);
+        Crossing crossing = Crossing.start(Settings.parse(settings("proxy", "frontend: \"127.0.0.1:" + ports[2]
+                + "\"\n  readiness: \"127.0.0.1:" + ports[3] + "\"", ports[4], ports[0], "null")), "127.0.0.1:" + ports[1]);
+        server(ports[5]);
+        String config = "{\"version\":2,\"routes\":[{\"name\":\"r\",\"hostname\":\"h.example\",\"path_prefix\":\"/a/\","
+                + "\"route_type\":\"streaming\",\"timeout_ms\":3000,\"target_latency_ms\":400,\"priority\":0,"
+                + "\"service\":\"s\",\"max_attempts\":2,\"session_affinity\":true,\"resumable\":true}],\"services\":"
+                + "[{\"name\":\"s\",\"max_connections\":60,\"engine\":{\"capacity\":8,\"models\":[{\"name\":\"m\"}]}}],"
+                + "\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k\"]}]}";
+        until(() -> call(ports[0], "POST /quartzspan/Configuration.Replace", "X-Base-Version: 0\r\n", config), "200");
+        String beat = "{\"service\":\"s\",\"address\":\"127.0.0.1:" + ports[5] + "\",\"zone\":\"z\",\"capacity\":8,"
+                + "\"state\":\"ready\",\"models\":[{\"name\":\"m\",\"version\":1}],\"call_count\":1}";
+        until(() -> call(ports[0], "POST /quartzspan/Instances.Heartbeat/i-1", "", beat), "200");
+        until(() -> call(ports[3], "GET /quartzspan/readiness", "", ""), "200");
+        for (int i = 0; i < 20; i++) {
+            until(() -> call(ports[2], "POST /a/b", "Host: h.example\r\nX-Attempt-Id: 1\r\nX-Deadline-Ms: 2000\r\n"
+                    + "X-Model: m\r\nX-Token-Count: 30,4\r\nX-Prompt-Prefix: 1a:10,2b:10,3c:10\r\n"
+                    + "Authorization: Token k\r\n", "ask"), BODY);
+        }
+        until(() -> call(ports[0], "GET /quartzspan/Configuration.Describe", "", ""), "h.example");
+        crossing.stop();
+        house.stop();
+    }
+
+    private static String settings(String name, String listen, int internal, int seed, String folder) {
+        return "node_name: \"" + name + "\"\nip_address: \"127.0.0.1\"\nzone: \"z\"\nzones:\n  z: \"r\"\nlisten_addresses:\n  "
+                + listen + "\ninternal_ports:\n  - " + internal + "\n  - " + internal + "\nseed_nodes:\n  - \"127.0.0.1:" + seed
+                + "\"\nbootstrap: true\nlimits:\n  memory_mb: 256\n  file_descriptors: 1024\ndata_directory: " + folder
+                + "\nheartbeat_ms: 1200\nbounds:\n  strict_revocation: true\n  grace_period_s: 1\n";
+    }
+
+    private static int[] ports(int count) throws IOException {
+        List<ServerSocket> held = new ArrayList<>();
+        int[] ports = new int[count];
+        for (int i = 0; i < count; i++) {
+            ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+            held.add(s);
+            ports[i] = s.getLocalPort();
+        }
+        for (ServerSocket s : held) {
+            s.close();
+        }
+        return ports;
+    }
+
+    private static void server(int port) throws Exception {
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        EventLoop loop = group.next();
+        loop.submit(() -> new Frontend(new Frontend.Desk() {
+            @Override
+            public long now() {
+                return System.nanoTime() / 1000;
+            }
+
+            @Override
+            public void take(Frontend.Client client, HttpRequest in, byte[] body, long at) {
+                client.answer(HttpResponseStatus.OK, new Upstream.Answer(BODY.getBytes(StandardCharsets.UTF_8),
+                        "text/event-stream", null), 0);
+            }
+
+            @Override
+            public Frontend.Terms terms() {
+                return new Frontend.Terms(64, 16 * 1024, 64 * 1024, 30_000, 30_000);
+            }
+        }, loop).listen(new InetSocketAddress("127.0.0.1", port))).get().await();
+    }
+
+    private interface Try {
+        String run() throws IOException;
+    }
+
+    private static void until(Try call, String holds) throws Exception {
+        String last = "";
+        for (int i = 0; i < 200; i++) {
+            try {
+                last = call.run();
+                if (last.contains(holds)) {
+                    return;
+                }
+            } catch (IOException e) {
+                last = e.toString();
+            }
+            Thread.sleep(30);
+        }
+        throw new IllegalStateException("the rehearsal got: " + last);
+    }
+
+    private static String call(int port, String line, String headers, String body) throws IOException {
+        try (Socket s = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            s.setSoTimeout(5_000);
+            s.getOutputStream().write((line + " HTTP/1.1\r\n" + (headers.contains("Host:") ? "" : "Host: c\r\n") + headers
+                    + "Content-Length: " + body.length() + "\r\nConnection: close\r\n\r\n" + body)
+                    .getBytes(StandardCharsets.UTF_8));
+            ByteArrayOutputStream all = new ByteArrayOutputStream();
+            try (InputStream in = s.getInputStream()) {
+                in.transferTo(all);
+            }
+            return all.toString(StandardCharsets.UTF_8);
+        }
+    }
+}
--- a/src/main/java/quartzspan/roster/Registry.java
+++ b/src/main/java/quartzspan/roster/Registry.java
@@ -30,7 +30,7 @@
     }
 
     /** A server's word; the news it makes, or null. */
-    public Fact beat(long now, String id, long count, Fact.State state, String text) {
+    public Fact beat(long now, String id, long count, Fact.State state, Server said) {
         Life life = servers.get(id);
         if (life != null && count < life.count()) {
             return null;
@@ -38,6 +38,9 @@
         servers.put(id, new Life(now, count));
         untold.put(id, new Fact(Fact.Subject.SERVER, id, count, state, ""));
         Fact old = roster.fact(Fact.Subject.SERVER, id);
+        // What it was ordered to load it doesn't say; that holds until it has it.
+        Server before = old == null ? null : Server.of(old);
+        String text = said.text(said.weights(), before == null ? 0 : before.loading());
         if (old != null && old.state() == state && old.text().equals(text)) {
             return null;
         }
@@ -51,12 +54,12 @@
     public Fact gone(long now, String id) {
         Fact old = roster.fact(Fact.Subject.SERVER, id);
         Fact next = new Fact(Fact.Subject.SERVER, id, old == null ? 1 : old.seq() + 1, Fact.State.GONE,
-                old == null ? Server.text("", "", "", "", 0) : old.text());
+                old == null ? Server.text("", "", "", "", 0, 0) : old.text());
         servers.remove(id);
         return roster.take(now, next) ? next : null;
     }
 
-    /** Weights that a server was seen to have; the news, or null. */
+    /** Weights that a server was seen to have, or was ordered to load; the news, or null. */
     public Fact weighs(long now, String id, String text) {
         Fact old = roster.fact(Fact.Subject.SERVER, id);
         if (old == null || old.text().equals(text) || old.state() == Fact.State.GONE) {
--- a/src/main/java/quartzspan/roster/Spread.java
+++ b/src/main/java/quartzspan/roster/Spread.java
@@ -169,6 +169,11 @@
         }
     }
 
+    /** Who asked of late: on a core machine the proxies that it serves. */
+    public List<String> askers() {
+        return List.copyOf(askers.keySet());
+    }
+
     /** Passes news on: to the few this process knows, to who asked it of late, and between core machines to all. */
     public void tell(long now, Roster.News news, String not) {
         List<String> to = new ArrayList<>(askers.keySet());
--- /dev/null
+++ b/src/main/java/quartzspan/warehouse/Stock.java
@@ -0,0 +1,105 @@
+package quartzspan.warehouse;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * The index of kept prompts: which server keeps how much of which part. Fed by consignments; what is missed shows by their
+ * numbers and is asked for whole. It may always be a little wrong: what it says is where to look, never what may be used.
+ */
+public final class Stock {
+    private static final class Shelf {
+        long stream;
+        long seq;
+        final Map<Long, Integer> parts = new HashMap<>();
+    }
+
+    private final Map<String, Shelf> shelves = new HashMap<>();
+
+    /** The name of a part: what it is kept under, its id and its model, hashed. */
+    public static long part(String salt, String id, String model) {
+        return Hashing.xxh3_64().hashStream().putString(salt).putString(id).putString(model).getAsLong();
+    }
+
+    /** Takes a report; whether the whole must be asked for, since something is missing before it. */
+    public boolean take(Consignment c) {
+        Shelf s = shelves.computeIfAbsent(c.server(), k -> new Shelf());
+        if (c.kind() == Consignment.Kind.WHOLE) {
+            if (c.stream() == s.stream && c.seq() < s.seq) {
+                return false;
+            }
+            s.parts.clear();
+        } else if (c.stream() != s.stream || c.seq() > s.seq + 1) {
+            return true;
+        } else if (c.seq() <= s.seq) {
+            return false;
+        }
+        s.stream = c.stream();
+        s.seq = c.seq();
+        for (int i = 0; i < c.parts().length; i++) {
+            put(s, c.parts()[i], c.tokens()[i]);
+        }
+        return false;
+    }
+
+    private static void put(Shelf s, long part, int tokens) {
+        if (tokens > 0) {
+            s.parts.put(part, tokens);
+        } else {
+            s.parts.remove(part);
+        }
+    }
+
+    /** What this process saw itself: a server has read a part. */
+    public void saw(String server, long part, int tokens) {
+        put(shelves.computeIfAbsent(server, k -> new Shelf()), part, tokens);
+    }
+
+    /** All that is known of a server; null if nothing is. */
+    public Consignment whole(String server) {
+        Shelf s = shelves.get(server);
+        if (s == null) {
+            return null;
+        }
+        int n = Math.min(Consignment.MOST, s.parts.size());
+        long[] parts = new long[n];
+        int[] tokens = new int[n];
+        int i = 0;
+        for (Map.Entry<Long, Integer> e : s.parts.entrySet()) {
+            if (i == n) {
+                break;
+            }
+            parts[i] = e.getKey();
+            tokens[i++] = e.getValue();
+        }
+        return new Consignment(Consignment.Kind.WHOLE, server, s.stream, s.seq, parts, tokens);
+    }
+
+    /** A server is gone. */
+    public void forget(String server) {
+        shelves.remove(server);
+    }
+
+    /** Tokens that a server keeps of a prompt: of its parts in order, as far as all before are kept whole. */
+    public long kept(String server, long[] parts, long[] tokens) {
+        Shelf s = shelves.get(server);
+        long sum = 0;
+        if (s != null) {
+            for (int i = 0; i < parts.length; i++) {
+                int has = s.parts.getOrDefault(parts[i], 0);
+                sum += Math.min(has, tokens[i]);
+                // Memory goes by blocks: the last few tokens of a part are never kept.
+                if (has + 64 < tokens[i]) {
+                    break;
+                }
+            }
+        }
+        return sum;
+    }
+
+    /** Parts known, over all servers. */
+    public int size() {
+        return shelves.values().stream().mapToInt(s -> s.parts.size()).sum();
+    }
+}
--- /dev/null
+++ b/src/main/java/quartzspan/warehouse/Watch.java
@@ -0,0 +1,104 @@
+package quartzspan.warehouse;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Follows what one server keeps, by its events, and by its list where events were missed. No clock, no I/O: it says what to
+ * ask, is told the answer, and says what is news. Times are milliseconds of a steady clock.
+ */
+public final class Watch {
+    /** Time between calls: each that comes back at once costs the server as much as a health check. */
+    private static final long PACE_MS = 450;
+    private static final long AGAIN_MS = 700;
+    /** A list holds the server up; not more often than this. */
+    private static final long LIST_MS = 3_000;
+
+    /** What to ask the server for. */
+    public enum Ask { NOTHING, EVENTS, LIST }
+
+    /** A change of what is kept, as the server says it. */
+    public record Event(String salt, String id, int tokens, String model) { }
+
+    private final String server;
+    private final long stream;
+    private long seq;
+    private long since;
+    private long epoch = -1;
+    private boolean begun;
+    private boolean mustList;
+    private boolean asking;
+    private long nextAt;
+    private long listedAt = Long.MIN_VALUE / 2;
+
+    public Watch(String server, long stream) {
+        this.server = server;
+        this.stream = stream;
+    }
+
+    /** What to ask now; the answer is owed before anything else is asked. */
+    public Ask due(long now) {
+        if (asking || now < nextAt) {
+            return Ask.NOTHING;
+        }
+        asking = true;
+        if (mustList && now - listedAt >= LIST_MS) {
+            listedAt = now;
+            return Ask.LIST;
+        }
+        return Ask.EVENTS;
+    }
+
+    /** From where events are wanted. */
+    public long since() {
+        return since;
+    }
+
+    /** The question failed. */
+    public void failed(long now) {
+        asking = false;
+        nextAt = now + AGAIN_MS;
+    }
+
+    /** Events came; the reports they make. */
+    public List<Consignment> events(long now, long itsEpoch, long next, boolean lost, List<Event> events) {
+        asking = false;
+        nextAt = now + PACE_MS;
+        List<Consignment> out = new ArrayList<>(2);
+        if (!begun || itsEpoch != epoch) {
+            // A new life keeps nothing yet, and tells its events from the first one on.
+            mustList = begun && since > 0 || lost;
+            begun = true;
+            epoch = itsEpoch;
+            out.add(report(Consignment.Kind.WHOLE, List.of()));
+        }
+        mustList |= lost;
+        since = next;
+        if (!events.isEmpty()) {
+            out.add(report(Consignment.Kind.NEWS, events));
+        }
+        return out;
+    }
+
+    /** The list came; the report it makes. */
+    public Consignment list(long now, long itsEpoch, long next, List<Event> held) {
+        asking = false;
+        mustList = false;
+        begun = true;
+        nextAt = now + PACE_MS;
+        epoch = itsEpoch;
+        since = next;
+        return report(Consignment.Kind.WHOLE, held);
+    }
+
+    private Consignment report(Consignment.Kind kind, List<Event> events) {
+        long[] parts = new long[Math.min(Consignment.MOST, events.size())];
+        int[] tokens = new int[parts.length];
+        for (int i = 0; i < parts.length; i++) {
+            Event e = events.get(i);
+            parts[i] = Stock.part(e.salt(), e.id(), e.model());
+            tokens[i] = e.tokens();
+        }
+        return new Consignment(kind, server, stream, ++seq, parts, tokens);
+    }
+}
--- a/src/main/java/quartzspan/waybill/Waybill.java
+++ b/src/main/java/quartzspan/waybill/Waybill.java
@@ -10,12 +10,15 @@
 import quartzspan.papers.Refusal;
 import quartzspan.roster.Fact;
 import quartzspan.roster.Tidings;
+import quartzspan.warehouse.Consignment;
 import quartzspan.waybill.sbe.HelloMessageDecoder;
 import quartzspan.waybill.sbe.HelloMessageEncoder;
 import quartzspan.waybill.sbe.LetterMessageDecoder;
 import quartzspan.waybill.sbe.LetterMessageEncoder;
 import quartzspan.waybill.sbe.MessageHeaderDecoder;
 import quartzspan.waybill.sbe.MessageHeaderEncoder;
+import quartzspan.waybill.sbe.StockMessageDecoder;
+import quartzspan.waybill.sbe.StockMessageEncoder;
 import quartzspan.waybill.sbe.TidingsMessageDecoder;
 import quartzspan.waybill.sbe.TidingsMessageEncoder;
 
@@ -33,7 +36,7 @@
 
     private Waybill() { }
 
-    /** One of {@link Hello}, {@link Letter} and {@link Tidings}, as bytes without the length. */
+    /** One of {@link Hello}, {@link Letter}, {@link Tidings} and {@link Consignment}, as bytes without the length. */
     public static byte[] encode(Object message) {
         MutableDirectBuffer to = new ExpandableArrayBuffer(512);
         MessageHeaderEncoder head = new MessageHeaderEncoder();
@@ -63,6 +66,15 @@
             }
             e.putLedger(t.ledger(), 0, t.ledger().length);
             length = e.limit();
+        } else if (message instanceof Consignment c) {
+            StockMessageEncoder e = new StockMessageEncoder().wrapAndApplyHeader(to, 0, head);
+            e.kind((short) c.kind().ordinal()).stream(c.stream()).seq(c.seq());
+            StockMessageEncoder.PartsEncoder parts = e.partsCount(c.parts().length);
+            for (int i = 0; i < c.parts().length; i++) {
+                parts.next().part(c.parts()[i]).tokens(c.tokens()[i]);
+            }
+            e.server(c.server());
+            length = e.limit();
         } else {
             throw new IllegalArgumentException("no message: " + message.getClass());
         }
@@ -84,6 +96,8 @@
                 case LetterMessageDecoder.TEMPLATE_ID -> letter(new LetterMessageDecoder().wrapAndApplyHeader(from, 0, head));
                 case TidingsMessageDecoder.TEMPLATE_ID ->
                         tidings(new TidingsMessageDecoder().wrapAndApplyHeader(from, 0, head));
+                case StockMessageDecoder.TEMPLATE_ID ->
+                        consignment(new StockMessageDecoder().wrapAndApplyHeader(from, 0, head));
                 default -> throw nonsense("message " + head.templateId());
             };
         } catch (IndexOutOfBoundsException | IllegalStateException | NegativeArraySizeException e) {
@@ -151,6 +165,25 @@
         return new Tidings(Tidings.Kind.values()[kind], nonce, age, epoch, index, buckets, facts, ledger);
     }
 
+    private static Consignment consignment(StockMessageDecoder d) {
+        int kind = d.kind();
+        if (kind >= Consignment.Kind.values().length) {
+            throw nonsense("consignment " + kind);
+        }
+        long stream = d.stream();
+        long seq = d.seq();
+        StockMessageDecoder.PartsDecoder p = d.parts();
+        int count = bounded(p.count(), Consignment.MOST);
+        long[] parts = new long[count];
+        int[] tokens = new int[count];
+        for (int i = 0; i < count; i++) {
+            p.next();
+            parts[i] = p.part();
+            tokens[i] = p.tokens();
+        }
+        return new Consignment(Consignment.Kind.values()[kind], d.server(), stream, seq, parts, tokens);
+    }
+
     private static int bounded(int length, int most) {
         if (length < 0 || length > most) {
             throw nonsense("length " + length);
