--- /dev/null
+++ b/src/test/java/quartzspan/warehouse/StockTest.java
@@ -0,0 +1,75 @@
+package quartzspan.warehouse;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import quartzspan.warehouse.Consignment.Kind;
+import quartzspan.warehouse.Watch.Ask;
+import quartzspan.warehouse.Watch.Event;
+
+/** The index of kept prompts: prefixes, gaps, new lives, and how a server's events are followed. */
+class StockTest {
+    private static Consignment news(Kind kind, long stream, long seq, long part, int tokens) {
+        return new Consignment(kind, "i", stream, seq, new long[] {part}, new int[] {tokens});
+    }
+
+    @Test
+    void onlyAWholePrefixCounts() {
+        Stock s = new Stock();
+        s.saw("i", 1, 512);
+        s.saw("i", 3, 100);
+        assertEquals(512, s.kept("i", new long[] {1, 2, 3}, new long[] {512, 400, 100}));
+        s.saw("i", 2, 390);
+        assertEquals(1_002, s.kept("i", new long[] {1, 2, 3}, new long[] {512, 400, 100}), "blocks leave the last tokens");
+        s.saw("i", 1, 128);
+        assertEquals(128, s.kept("i", new long[] {1, 2, 3}, new long[] {512, 400, 100}));
+        assertEquals(0, s.kept("j", new long[] {1}, new long[] {512}));
+    }
+
+    @Test
+    void aGapAsksForTheWholeAndOldReportsChangeNothing() {
+        Stock s = new Stock();
+        assertTrue(s.take(news(Kind.NEWS, 5, 4, 1, 10)), "nothing before it is known");
+        assertFalse(s.take(news(Kind.WHOLE, 5, 4, 1, 10)));
+        assertFalse(s.take(news(Kind.NEWS, 5, 5, 2, 10)));
+        assertFalse(s.take(news(Kind.NEWS, 5, 5, 2, 0)), "twice");
+        assertTrue(s.take(news(Kind.NEWS, 5, 7, 3, 10)), "one is missing");
+        assertTrue(s.take(news(Kind.NEWS, 6, 6, 3, 10)), "another watcher");
+        assertEquals(2, s.size());
+        assertFalse(s.take(news(Kind.WHOLE, 6, 9, 9, 10)));
+        assertEquals(1, s.size());
+        assertEquals(9, s.whole("i").seq());
+    }
+
+    @Test
+    void saltsKeepWeightsAndWallsApart() {
+        assertTrue(Stock.part("v1", "ab", "m") != Stock.part("v2", "ab", "m"));
+        assertTrue(Stock.part("v1wt", "ab", "m") != Stock.part("v1", "ab", "m"));
+    }
+
+    @Test
+    void eventsAreFollowedAndTheListIsAskedForOnlyAfterAGap() {
+        Watch w = new Watch("i", 8);
+        assertEquals(Ask.EVENTS, w.due(0));
+        assertEquals(Ask.NOTHING, w.due(10_000), "one question at a time");
+        List<Consignment> first = w.events(10, 77, 3, false, List.of(new Event("v1", "ab", 100, "m")));
+        assertEquals(List.of(Kind.WHOLE, Kind.NEWS), first.stream().map(Consignment::kind).toList());
+        assertEquals(Ask.NOTHING, w.due(20), "paced");
+        assertEquals(Ask.EVENTS, w.due(1_000));
+        assertEquals(3, w.since());
+        w.events(1_010, 77, 9, true, List.of());
+        assertEquals(Ask.LIST, w.due(2_000));
+        assertEquals(Kind.WHOLE, w.list(2_010, 77, 12, List.of()).kind());
+        assertEquals(Ask.EVENTS, w.due(3_000));
+        assertEquals(12, w.since());
+        w.failed(3_010);
+        assertEquals(Ask.NOTHING, w.due(3_100));
+        assertEquals(Ask.EVENTS, w.due(4_000));
+        List<Consignment> anew = w.events(4_010, 78, 1, false, List.of());
+        assertEquals(Kind.WHOLE, anew.get(0).kind(), "a new life keeps nothing of the old");
+        assertEquals(0, anew.get(0).parts().length);
+    }
+}
