--- a/src/main/java/quartzspan/crossing/Crossing.java
+++ b/src/main/java/quartzspan/crossing/Crossing.java
@@ -238,6 +238,12 @@
         return stock;
     }
 
+    /** The stores of prompts that answer. */
+    List<String> stores() {
+        return manifest().services().values().stream().map(Service::store)
+                .filter(s -> s != null && stock.knows(Stock.store(s))).toList();
+    }
+
     /** Where a server is reached, as a text; null if it is gone. */
     String address(String server) {
         return addresses.get(server);
--- a/src/main/java/quartzspan/crossing/Passage.java
+++ b/src/main/java/quartzspan/crossing/Passage.java
@@ -18,6 +18,7 @@
 import mulleinfront.proxy.Upstream;
 import mulleinfront.proxy.Upstream.Answer;
 import quartzspan.manifest.Manifest.Route;
+import quartzspan.warehouse.Stock;
 
 /** One request on its way: from its client to a server, to another if it surely has not run, and the answer back. */
 final class Passage implements Upstream.Reading {
@@ -26,6 +27,8 @@
             HttpHeaderNames.TRAILER, HttpHeaderNames.UPGRADE, "Proxy-Connection");
     /** We are done this long before the client's time is up. */
     private static final long MARGIN_US = 15_000;
+    /** Tokens that are worth a move to or from a store. */
+    private static final long WORTH_MOVING = 150;
     private static final Answer NOTHING = new Answer(new byte[0], null, null);
 
     private final Crossing crossing;
@@ -103,6 +106,19 @@
         String source = crossing.placement().source(crossing.now(), job, to, server -> crossing.weights(server) != weights
                 ? 0 : crossing.stock().kept(server, names, prompt.tokens()));
         String address = source == null || crossing.weights(source) != weights ? null : crossing.address(source);
+        long here = crossing.stock().kept(to, names, prompt.tokens());
+        long there = address == null ? here : crossing.stock().kept(source, names, prompt.tokens());
+        for (String store : crossing.stores()) {
+            long stored = crossing.stock().kept(Stock.store(store), names, prompt.tokens());
+            if (stored > Math.max(here, there) + WORTH_MOVING) {
+                address = store;
+                there = stored;
+            }
+            // What others will ask for again is saved; a prompt that is mostly its own would only push that out.
+            if (stored + WORTH_MOVING < prompt.shared() && 2 * prompt.shared() >= prompt.all()) {
+                headers.set("Kv-Save", store);
+            }
+        }
         if (address != null) {
             headers.set("Kv-Fetch", address);
         }
--- a/src/main/java/quartzspan/crossing/Prompt.java
+++ b/src/main/java/quartzspan/crossing/Prompt.java
@@ -1,5 +1,6 @@
 package quartzspan.crossing;
 
+import java.util.Arrays;
 import mulleinfront.proxy.Framing;
 import quartzspan.warehouse.Stock;
 
@@ -35,6 +36,16 @@
         return tokens;
     }
 
+    /** Tokens of the whole prompt. */
+    long all() {
+        return Arrays.stream(tokens).sum();
+    }
+
+    /** Tokens of the parts that others share: all but the last. */
+    long shared() {
+        return all() - (tokens.length == 0 ? 0 : tokens[tokens.length - 1]);
+    }
+
     /** Names of its parts under a salt. */
     long[] parts(String salt) {
         if (ids.length == 0) {
--- a/src/main/java/quartzspan/customhouse/Customhouse.java
+++ b/src/main/java/quartzspan/customhouse/Customhouse.java
@@ -486,7 +486,7 @@
         }
         hosts.keySet().removeIf(id -> {
             Fact f = roster.fact(Fact.Subject.SERVER, id);
-            return f == null || f.state() == Fact.State.GONE;
+            return f != null && f.state() == Fact.State.GONE;
         });
         List<Server> servers = new ArrayList<>();
         roster.all(Fact.Subject.SERVER).forEach(f -> servers.add(Server.of(f)));
@@ -573,6 +573,12 @@
                 there.put(s.id(), s);
             }
         }
+        for (Manifest.Service s : roster.ledger().manifest().services().values()) {
+            if (s.store() != null) {
+                there.put(Stock.store(s.store()), new Server(Stock.store(s.store()), s.name(), s.store(), s.zone(), "", 0, 0,
+                        0, Fact.State.READY));
+            }
+        }
         watches.keySet().removeIf(id -> !there.containsKey(id) || !watcher(id, cores).equals(self));
         for (Server s : there.values()) {
             if (watcher(s.id(), cores).equals(self)) {
@@ -590,7 +596,7 @@
             case EVENTS -> call(s, "GET", "/quartzspan/kv-events?since=" + w.since(), "", Map.of("Wait-Ms", "1000"),
                     (status, body) -> {
                         if (status != 200) {
-                            w.failed(ms());
+                            publish(w.failed(ms()));
                             return;
                         }
                         JsonObject o = Manifest.json(body);
@@ -603,7 +609,7 @@
                     });
             case LIST -> call(s, "GET", "/quartzspan/kv-list", "", Map.of(), (status, body) -> {
                 if (status != 200) {
-                    w.failed(ms());
+                    publish(w.failed(ms()));
                     return;
                 }
                 JsonObject o = Manifest.json(body);
@@ -652,7 +658,10 @@
         host.listed(new InetSocketAddress(s.address().substring(0, colon),
                 Integer.parseInt(s.address().substring(colon + 1))), true, 4);
         io.netty.handler.codec.http.HttpHeaders headers = new io.netty.handler.codec.http.DefaultHttpHeaders()
-                .set("Host", s.address()).set("X-Expected-Instance", s.id());
+                .set("Host", s.address());
+        if (!s.model().isEmpty()) {
+            headers.set("X-Expected-Instance", s.id());
+        }
         if (!body.isEmpty()) {
             headers.set("Content-Type", "application/json");
         }
--- a/src/main/java/quartzspan/warehouse/Stock.java
+++ b/src/main/java/quartzspan/warehouse/Stock.java
@@ -76,6 +76,17 @@
         return new Consignment(Consignment.Kind.WHOLE, server, s.stream, s.seq, parts, tokens);
     }
 
+    /** Whether anything was ever reported of a server: it is there and answers. */
+    public boolean knows(String server) {
+        Shelf s = shelves.get(server);
+        return s != null && s.seq > 0;
+    }
+
+    /** The name under which a store of prompts stands in the index. */
+    public static String store(String address) {
+        return "store " + address;
+    }
+
     /** A server is gone. */
     public void forget(String server) {
         shelves.remove(server);
--- a/src/main/java/quartzspan/warehouse/Watch.java
+++ b/src/main/java/quartzspan/warehouse/Watch.java
@@ -11,6 +11,8 @@
     /** Time between calls: each that comes back at once costs the server as much as a health check. */
     private static final long PACE_MS = 450;
     private static final long AGAIN_MS = 700;
+    /** Failures in a row after which nothing it keeps is of use. */
+    private static final int FAILURES = 2;
     /** A list holds the server up; not more often than this. */
     private static final long LIST_MS = 3_000;
 
@@ -28,6 +30,7 @@
     private boolean begun;
     private boolean mustList;
     private boolean asking;
+    private int failures;
     private long nextAt;
     private long listedAt = Long.MIN_VALUE / 2;
 
@@ -54,15 +57,23 @@
         return since;
     }
 
-    /** The question failed. */
-    public void failed(long now) {
+    /** The question failed; the report it makes. One that does not answer is no source to fetch from. */
+    public List<Consignment> failed(long now) {
         asking = false;
         nextAt = now + AGAIN_MS;
+        if (!begun || ++failures < FAILURES) {
+            return List.of();
+        }
+        begun = false;
+        mustList = false;
+        since = 0;
+        return List.of(report(Consignment.Kind.WHOLE, List.of()));
     }
 
     /** Events came; the reports they make. */
     public List<Consignment> events(long now, long itsEpoch, long next, boolean lost, List<Event> events) {
         asking = false;
+        failures = 0;
         nextAt = now + PACE_MS;
         List<Consignment> out = new ArrayList<>(2);
         if (!begun || itsEpoch != epoch) {
@@ -83,6 +94,7 @@
     /** The list came; the report it makes. */
     public Consignment list(long now, long itsEpoch, long next, List<Event> held) {
         asking = false;
+        failures = 0;
         mustList = false;
         begun = true;
         nextAt = now + PACE_MS;
