Roll-out: a report with an older list in hand no longer takes back that a server loads

Proxies heard that a server loads and, 9 ms later, that it does not: the first report after an order was answered with what was known before it.

--- a/src/main/java/quartzspan/customhouse/Customhouse.java
+++ b/src/main/java/quartzspan/customhouse/Customhouse.java
@@ -493,7 +493,8 @@
         servers.removeIf(Objects::isNull);
         for (Rollout.Order o : rollout.due(now, ledger.weights(), servers)) {
             rollout.ordered(now, o.server().id());
-            tell(registry.weighs(now, o.server().id(), o.server().text(o.server().weights(), o.version())));
+            reportAt.put(o.server().id(), now + REPORT_EVERY_MS);
+            tell(registry.loads(now, o.server().id(), o.version()));
             // Proxies have time to hear that it will take nothing for a while.
             loop.schedule(() -> {
                 if (docket.primary() && ms() - docket.confirmedAt() < SURE_PLACE_MS) {
@@ -539,8 +540,11 @@
         json.append(",\"version\":").append(o.version()).append(",\"method\":\"queue\",\"holder\":");
         JsonLines.quote(json, settings.nodeName());
         json.append(",\"fencing_token\":").append(token).append('}');
-        reportAt.put(o.server().id(), ms() + REPORT_EVERY_MS);
+        LOG.info("{} is ordered to load version {} of {}", o.server().id(), o.version(), o.model());
         call(o.server(), "POST", "/quartzspan/order", json.toString(), Map.of(), (status, body) -> {
+            if (status != 200 && status != 202) {
+                LOG.info("{} answers an order with {}", o.server().id(), status);
+            }
             if (status == 409 || status >= 500) {
                 rollout.refused(ms(), o.server().id());
             }
@@ -552,8 +556,7 @@
             if (status == 200) {
                 JsonObject o = Manifest.json(body);
                 if (!o.getBoolean("busy", false) && o.get("models") instanceof JsonArray models && !models.isEmpty()) {
-                    tell(registry.weighs(ms(), s.id(), s.text(Manifest.whole(models.getJsonObject(0), "version", 0),
-                            s.loading())));
+                    tell(registry.weighs(ms(), s.id(), Manifest.whole(models.getJsonObject(0), "version", 0)));
                 }
             }
         });
--- a/src/main/java/quartzspan/roster/Registry.java
+++ b/src/main/java/quartzspan/roster/Registry.java
@@ -59,10 +59,24 @@
         return roster.take(now, next) ? next : null;
     }
 
-    /** Weights that a server was seen to have, or was ordered to load; the news, or null. */
-    public Fact weighs(long now, String id, String text) {
+    /** Weights that a server was seen to have; the news, or null. What it loads stays as it is until it has it. */
+    public Fact weighs(long now, String id, long weights) {
+        return reweighed(now, id, weights, -1);
+    }
+
+    /** Weights that a server is ordered to load; the news, or null. */
+    public Fact loads(long now, String id, long loading) {
+        return reweighed(now, id, -1, loading);
+    }
+
+    private Fact reweighed(long now, String id, long weights, long loading) {
         Fact old = roster.fact(Fact.Subject.SERVER, id);
-        if (old == null || old.text().equals(text) || old.state() == Fact.State.GONE) {
+        Server before = old == null ? null : Server.of(old);
+        if (before == null || old.state() == Fact.State.GONE) {
+            return null;
+        }
+        String text = before.text(weights < 0 ? before.weights() : weights, loading < 0 ? before.loading() : loading);
+        if (old.text().equals(text)) {
             return null;
         }
         Fact next = new Fact(Fact.Subject.SERVER, id, old.seq() + 1, old.state(), text);
--- a/src/test/java/quartzspan/roster/RosterTest.java
+++ b/src/test/java/quartzspan/roster/RosterTest.java
@@ -46,10 +46,12 @@
         Registry g = new Registry(r, 1_000);
         g.beat(0, "i", 1, Fact.State.READY, server("i", 1));
         for (int n = 2; n < 9; n++) {
-            g.weighs(n, "i", server("i", n).text(n, n + 1));
+            g.loads(n, "i", n + 1);
+            g.weighs(n, "i", n);
         }
         assertNotNull(g.beat(20, "i", 2, Fact.State.DRAINING, server("i", 8)));
         assertEquals(Fact.State.DRAINING, r.fact(Fact.Subject.SERVER, "i").state());
+        g.weighs(30, "i", 8);
         assertEquals(9, Server.of(r.fact(Fact.Subject.SERVER, "i")).loading(), "what it loads it doesn't say itself");
     }
 
