--- a/src/main/java/quartzspan/customhouse/Customhouse.java
+++ b/src/main/java/quartzspan/customhouse/Customhouse.java
@@ -486,14 +486,15 @@
         }
         hosts.keySet().removeIf(id -> {
             Fact f = roster.fact(Fact.Subject.SERVER, id);
-            return f == null || f.state() == Fact.State.GONE;
+            return f != null && f.state() == Fact.State.GONE;
         });
         List<Server> servers = new ArrayList<>();
         roster.all(Fact.Subject.SERVER).forEach(f -> servers.add(Server.of(f)));
         servers.removeIf(Objects::isNull);
         for (Rollout.Order o : rollout.due(now, ledger.weights(), servers)) {
             rollout.ordered(now, o.server().id());
-            tell(registry.weighs(now, o.server().id(), o.server().text(o.server().weights(), o.version())));
+            reportAt.put(o.server().id(), now + REPORT_EVERY_MS);
+            tell(registry.loads(now, o.server().id(), o.version()));
             // Proxies have time to hear that it will take nothing for a while.
             loop.schedule(() -> {
                 if (docket.primary() && ms() - docket.confirmedAt() < SURE_PLACE_MS) {
@@ -539,8 +540,11 @@
         json.append(",\"version\":").append(o.version()).append(",\"method\":\"queue\",\"holder\":");
         JsonLines.quote(json, settings.nodeName());
         json.append(",\"fencing_token\":").append(token).append('}');
-        reportAt.put(o.server().id(), ms() + REPORT_EVERY_MS);
+        LOG.info("{} is ordered to load version {} of {}", o.server().id(), o.version(), o.model());
         call(o.server(), "POST", "/quartzspan/order", json.toString(), Map.of(), (status, body) -> {
+            if (status != 200 && status != 202) {
+                LOG.info("{} answers an order with {}", o.server().id(), status);
+            }
             if (status == 409 || status >= 500) {
                 rollout.refused(ms(), o.server().id());
             }
@@ -552,8 +556,7 @@
             if (status == 200) {
                 JsonObject o = Manifest.json(body);
                 if (!o.getBoolean("busy", false) && o.get("models") instanceof JsonArray models && !models.isEmpty()) {
-                    tell(registry.weighs(ms(), s.id(), s.text(Manifest.whole(models.getJsonObject(0), "version", 0),
-                            s.loading())));
+                    tell(registry.weighs(ms(), s.id(), Manifest.whole(models.getJsonObject(0), "version", 0)));
                 }
             }
         });
@@ -573,6 +576,12 @@
                 there.put(s.id(), s);
             }
         }
+        for (Manifest.Service s : roster.ledger().manifest().services().values()) {
+            if (s.store() != null) {
+                there.put(Stock.store(s.store()), new Server(Stock.store(s.store()), s.name(), s.store(), s.zone(), "", 0, 0,
+                        0, Fact.State.READY));
+            }
+        }
         watches.keySet().removeIf(id -> !there.containsKey(id) || !watcher(id, cores).equals(self));
         for (Server s : there.values()) {
             if (watcher(s.id(), cores).equals(self)) {
@@ -590,7 +599,7 @@
             case EVENTS -> call(s, "GET", "/quartzspan/kv-events?since=" + w.since(), "", Map.of("Wait-Ms", "1000"),
                     (status, body) -> {
                         if (status != 200) {
-                            w.failed(ms());
+                            publish(w.failed(ms()));
                             return;
                         }
                         JsonObject o = Manifest.json(body);
@@ -603,7 +612,7 @@
                     });
             case LIST -> call(s, "GET", "/quartzspan/kv-list", "", Map.of(), (status, body) -> {
                 if (status != 200) {
-                    w.failed(ms());
+                    publish(w.failed(ms()));
                     return;
                 }
                 JsonObject o = Manifest.json(body);
@@ -652,7 +661,10 @@
         host.listed(new InetSocketAddress(s.address().substring(0, colon),
                 Integer.parseInt(s.address().substring(colon + 1))), true, 4);
         io.netty.handler.codec.http.HttpHeaders headers = new io.netty.handler.codec.http.DefaultHttpHeaders()
-                .set("Host", s.address()).set("X-Expected-Instance", s.id());
+                .set("Host", s.address());
+        if (!s.model().isEmpty()) {
+            headers.set("X-Expected-Instance", s.id());
+        }
         if (!body.isEmpty()) {
             headers.set("Content-Type", "application/json");
         }
