--- a/src/main/java/quartzspan/rehearsal/Main.java
+++ b/src/main/java/quartzspan/rehearsal/Main.java
@@ -24,6 +24,7 @@
 import mulleinfront.proxy.Upstream;
 import quartzspan.crossing.Crossing;
 import quartzspan.customhouse.Customhouse;
+import quartzspan.manifest.Manifest;
 import quartzspan.papers.Settings;
 
 /**
@@ -32,14 +33,35 @@
  */
 public final class Main {
     private static final String BODY = "data: done\n\n";
+    private static final int REQUESTS = 20;
+    private static final String CONFIGURATION = "{\"version\":2,\"routes\":[{\"name\":\"r\",\"hostname\":\"h.example\","
+            + "\"path_prefix\":\"/a/\",\"route_type\":\"streaming\",\"timeout_ms\":3000,\"target_latency_ms\":400,"
+            + "\"priority\":0,\"service\":\"s\",\"max_attempts\":2,\"session_affinity\":true,\"resumable\":true}],"
+            + "\"services\":[{\"name\":\"s\",\"max_connections\":60,\"engine\":{\"capacity\":8,\"models\":"
+            + "[{\"name\":\"m\"}]}}],\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k\"]}]}";
 
     private Main() { }
 
-    /** Takes no arguments; ends with a status above 0 if the fleet does not carry a request. */
+    /**
+     * Without arguments all is made up; with one, a folder, settings are read from its {@code core.yaml} and
+     * {@code proxy.yaml} and the configuration from {@code configuration.json}. Ends with a status above 0 if the fleet does
+     * not carry its requests.
+     */
     public static void main(String[] args) throws Exception {
         Path folder = Files.createTempDirectory("rehearsal");
         try {
-            rehearse(folder);
+            if (args.length == 0) {
+                int[] ports = ports(5);
+                // A machine's internal port is the same everywhere; two processes on one address need two.
+                rehearse(Settings.parse(settings("core", "control_plane: \"127.0.0.1:" + ports[0] + "\"", ports[1], ports[0],
+                        "\"" + folder + "\"")), Settings.parse(settings("proxy", "frontend: \"127.0.0.1:" + ports[2]
+                        + "\"\n  readiness: \"127.0.0.1:" + ports[3] + "\"", ports[4], ports[0], "null")), CONFIGURATION);
+            } else {
+                Path from = Path.of(args[0]);
+                rehearse(Settings.parse(Files.readString(from.resolve("core.yaml"))),
+                        Settings.parse(Files.readString(from.resolve("proxy.yaml"))),
+                        Files.readString(from.resolve("configuration.json")));
+            }
         } finally {
             try (Stream<Path> all = Files.walk(folder)) {
                 all.sorted(Comparator.reverseOrder()).forEach(p -> p.toFile().delete());
@@ -48,35 +70,36 @@
         System.exit(0);
     }
 
-    private static void rehearse(Path folder) throws Exception {
-        int[] ports = ports(6);
-        Settings core = Settings.parse(settings("core", "control_plane: \"127.0.0.1:" + ports[0] + "\"", ports[1], ports[0],
-                "\"" + folder + "\""));
-        // A machine's internal port is the same everywhere; two processes on one address need two.
+    private static void rehearse(Settings core, Settings proxy, String config) throws Exception {
+        InetSocketAddress control = core.listens("control_plane");
+        InetSocketAddress front = proxy.listens("frontend");
         Customhouse house = Customhouse.start(core);
-        Crossing crossing = Crossing.start(Settings.parse(settings("proxy", "frontend: \"127.0.0.1:" + ports[2]
-                + "\"\n  readiness: \"127.0.0.1:" + ports[3] + "\"", ports[4], ports[0], "null")), "127.0.0.1:" + ports[1]);
-        server(ports[5]);
-        String config = "{\"version\":2,\"routes\":[{\"name\":\"r\",\"hostname\":\"h.example\",\"path_prefix\":\"/a/\","
-                + "\"route_type\":\"streaming\",\"timeout_ms\":3000,\"target_latency_ms\":400,\"priority\":0,"
-                + "\"service\":\"s\",\"max_attempts\":2,\"session_affinity\":true,\"resumable\":true}],\"services\":"
-                + "[{\"name\":\"s\",\"max_connections\":60,\"engine\":{\"capacity\":8,\"models\":[{\"name\":\"m\"}]}}],"
-                + "\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k\"]}]}";
-        until(() -> call(ports[0], "POST /quartzspan/Configuration.Replace", "X-Base-Version: 0\r\n", config), "200");
-        String beat = "{\"service\":\"s\",\"address\":\"127.0.0.1:" + ports[5] + "\",\"zone\":\"z\",\"capacity\":8,"
+        Crossing crossing = Crossing.start(proxy, core.internal().getHostString() + ':' + core.internal().getPort());
+        int server = server();
+        long base = Manifest.read(body(until(() -> call(control, "GET /quartzspan/Configuration.Describe", "", ""), " 200 ")))
+                .version();
+        if (base == 0) {
+            until(() -> call(control, "POST /quartzspan/Configuration.Replace", "X-Base-Version: 0\r\n", config), " 200 ");
+        }
+        String beat = "{\"service\":\"s\",\"address\":\"127.0.0.1:" + server + "\",\"zone\":\"z\",\"capacity\":8,"
                 + "\"state\":\"ready\",\"models\":[{\"name\":\"m\",\"version\":1}],\"call_count\":1}";
-        until(() -> call(ports[0], "POST /quartzspan/Instances.Heartbeat/i-1", "", beat), "200");
-        until(() -> call(ports[3], "GET /quartzspan/readiness", "", ""), "200");
-        for (int i = 0; i < 20; i++) {
-            until(() -> call(ports[2], "POST /a/b", "Host: h.example\r\nX-Attempt-Id: 1\r\nX-Deadline-Ms: 2000\r\n"
+        until(() -> call(control, "POST /quartzspan/Instances.Heartbeat/i-" + server, "", beat), " 200 ");
+        until(() -> call(proxy.listens("readiness"), "GET /quartzspan/readiness", "", ""), " 200 ");
+        for (int i = 0; i < REQUESTS; i++) {
+            until(() -> call(front, "POST /a/b", "Host: h.example\r\nX-Attempt-Id: 1\r\nX-Deadline-Ms: 2000\r\n"
                     + "X-Model: m\r\nX-Token-Count: 30,4\r\nX-Prompt-Prefix: 1a:10,2b:10,3c:10\r\n"
                     + "Authorization: Token k\r\n", "ask"), BODY);
         }
-        until(() -> call(ports[0], "GET /quartzspan/Configuration.Describe", "", ""), "h.example");
+        System.out.println(REQUESTS + " requests carried by " + proxy.nodeName() + " to i-" + server + ", version "
+                + Math.max(base, Manifest.read(config.getBytes(StandardCharsets.UTF_8)).version()) + " in force");
         crossing.stop();
         house.stop();
     }
 
+    private static byte[] body(String answer) {
+        return answer.substring(answer.indexOf("\r\n\r\n") + 4).getBytes(StandardCharsets.UTF_8);
+    }
+
     private static String settings(String name, String listen, int internal, int seed, String folder) {
         return "node_name: \"" + name + "\"\nip_address: \"127.0.0.1\"\nzone: \"z\"\nzones:\n  z: \"r\"\nlisten_addresses:\n  "
                 + listen + "\ninternal_ports:\n  - " + internal + "\n  - " + internal + "\nseed_nodes:\n  - \"127.0.0.1:" + seed
@@ -98,10 +121,10 @@
         return ports;
     }
 
-    private static void server(int port) throws Exception {
+    private static int server() throws Exception {
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         EventLoop loop = group.next();
-        loop.submit(() -> new Frontend(new Frontend.Desk() {
+        Frontend frontend = loop.submit(() -> new Frontend(new Frontend.Desk() {
             @Override
             public long now() {
                 return System.nanoTime() / 1000;
@@ -117,20 +140,22 @@
             public Frontend.Terms terms() {
                 return new Frontend.Terms(64, 16 * 1024, 64 * 1024, 30_000, 30_000);
             }
-        }, loop).listen(new InetSocketAddress("127.0.0.1", port))).get().await();
+        }, loop)).get();
+        loop.submit(() -> frontend.listen(new InetSocketAddress("127.0.0.1", 0))).get().await();
+        return frontend.port();
     }
 
     private interface Try {
         String run() throws IOException;
     }
 
-    private static void until(Try call, String holds) throws Exception {
+    private static String until(Try call, String holds) throws Exception {
         String last = "";
         for (int i = 0; i < 200; i++) {
             try {
                 last = call.run();
                 if (last.contains(holds)) {
-                    return;
+                    return last;
                 }
             } catch (IOException e) {
                 last = e.toString();
@@ -140,8 +165,8 @@
         throw new IllegalStateException("the rehearsal got: " + last);
     }
 
-    private static String call(int port, String line, String headers, String body) throws IOException {
-        try (Socket s = new Socket(InetAddress.getLoopbackAddress(), port)) {
+    private static String call(InetSocketAddress to, String line, String headers, String body) throws IOException {
+        try (Socket s = new Socket(to.getAddress(), to.getPort())) {
             s.setSoTimeout(5_000);
             s.getOutputStream().write((line + " HTTP/1.1\r\n" + (headers.contains("Host:") ? "" : "Host: c\r\n") + headers
                     + "Content-Length: " + body.length() + "\r\nConnection: close\r\n\r\n" + body)
