--- a/src/test/java/quartzspan/docket/DocketExplorerTest.java
+++ b/src/test/java/quartzspan/docket/DocketExplorerTest.java
@@ -72,7 +72,7 @@
         List<Machine> all = new ArrayList<>(w.machines.values());
         Machine m = w.any();
         long down = 200 + w.random.nextInt(4_000);
-        switch (w.random.nextInt(11)) {
+        switch (w.random.nextInt(14)) {
             case 0, 1 -> {
                 m.kill();
                 w.run(w.now + down);
@@ -119,6 +119,7 @@
             }
             case 8 -> wipe(w, all);
             case 9 -> replace(w, m);
+            case 10, 11, 12 -> links(w, all, 200 + w.random.nextInt(4_000));
             default -> {
                 // A change is on its way when its primary dies.
                 Machine p = w.primary();
@@ -133,6 +134,23 @@
         }
     }
 
+    /** Some links fail, each in one direction or both, while everybody else hears everybody. */
+    private static void links(World w, List<Machine> all, long forMs) {
+        for (int n = 1 + w.random.nextInt(all.size()); n > 0; n--) {
+            Machine a = all.get(w.random.nextInt(all.size()));
+            Machine b = all.get(w.random.nextInt(all.size()));
+            w.cuts.add(a.name + ">" + b.name);
+            if (w.random.nextBoolean()) {
+                w.cuts.add(b.name + ">" + a.name);
+            }
+        }
+        for (long end = w.now + forMs; w.now < end; w.run(w.now + 50 + w.random.nextInt(300))) {
+            // Whoever thinks that it decides is asked.
+            w.race(1);
+        }
+        w.cuts.clear();
+    }
+
     /** As many disks as may be lost are, in a calm time, perhaps while all others lose power; then calm until caught up. */
     private static void wipe(World w, List<Machine> all) {
         w.run(w.now + 4_500);
@@ -166,6 +184,11 @@
                 w.after(w.random.nextInt(300), () -> m.start(false));
             }
         }
+        if (w.random.nextBoolean()) {
+            // Disks are not the only trouble: what has come back empty vouches for nothing meanwhile.
+            w.run(w.now + w.random.nextInt(700));
+            links(w, all, 1_500);
+        }
         w.run(w.now + 4_500);
     }
 
