A start that fails by its settings ends with one line and its status, wherever it was noticed

A missing listen address was noticed on the event loop: a trace, and a process that did not end. Found by starting the proxy with a core machine's settings. Operators' two calls wait for their tickets in one way.

--- a/src/main/java/quartzspan/crossing/Main.java
+++ b/src/main/java/quartzspan/crossing/Main.java
@@ -13,12 +13,12 @@
     private Main() { }
 
     /** Takes no arguments: all comes from the settings file. */
-    public static void main(String[] args) throws Exception {
+    public static void main(String[] args) {
         try {
             Crossing crossing = Crossing.start(Settings.load());
             Signal.handle(new Signal("HUP"), hup -> reload(crossing));
             Runtime.getRuntime().addShutdownHook(new Thread(crossing::leave));
-        } catch (Refusal why) {
+        } catch (Exception why) {
             Settings.refuse(why, LOG::error);
         }
     }
--- a/src/main/java/quartzspan/customhouse/Customhouse.java
+++ b/src/main/java/quartzspan/customhouse/Customhouse.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import mulleinfront.Balancer.Outcome;
 import mulleinfront.proxy.Call;
 import mulleinfront.proxy.Clock;
@@ -121,8 +122,7 @@
         List<String> seeds = settings.seeds().stream()
                 .map(s -> s.getHostString() + ':' + settings.internalPort()).toList();
         this.terms = new Frontend.Terms(Math.max(64, settings.descriptors() / 2), 32 * 1024, MOST_BODY, 30_000, 30_000);
-        this.keeper = new Keeper(new Bond(new FileDisk(Objects.requireNonNull(settings.dataDirectory(),
-                "data_directory"))));
+        this.keeper = new Keeper(new Bond(new FileDisk(settings.disk())));
         List<byte[]> kept = open(keeper);
         this.upstream = new Upstream(loop, DIAL_US, 2_000_000, 256);
         this.carrier = new Carrier(loop, new Hello(true, self, text(control), settings.zone()), this::received);
@@ -376,38 +376,30 @@
         if (elsewhere(client, in)) {
             return;
         }
-        long ticket = ++tickets;
+        docket.change(ms(), ticket(client, ledger -> Calls.ok(client)), new Change(kind, base, body));
+    }
+
+    /** A ticket for the docket's answer, which goes to a client as long as it waits for one. */
+    private long ticket(Frontend.Client client, Consumer<Ledger> granted) {
         boolean[] left = {false};
         client.opened(() -> left[0] = true);
-        waiting.put(ticket, (why, ledger) -> {
+        waiting.put(++tickets, (why, ledger) -> {
             if (!left[0]) {
                 if (why == null) {
-                    Calls.ok(client);
+                    granted.accept(ledger);
                 } else {
                     Calls.refuse(client, why);
                 }
             }
         });
-        docket.change(ms(), ticket, new Change(kind, base, body));
+        return tickets;
     }
 
     private void describe(Frontend.Client client, HttpRequest in, byte[] body, String rest) {
         if (elsewhere(client, in)) {
             return;
         }
-        long ticket = ++tickets;
-        boolean[] left = {false};
-        client.opened(() -> left[0] = true);
-        waiting.put(ticket, (why, ledger) -> {
-            if (!left[0]) {
-                if (why == null) {
-                    Calls.answer(client, HttpResponseStatus.OK, ledger.manifest().bytes());
-                } else {
-                    Calls.refuse(client, why);
-                }
-            }
-        });
-        docket.confirm(ms(), ticket);
+        docket.confirm(ms(), ticket(client, ledger -> Calls.answer(client, HttpResponseStatus.OK, ledger.manifest().bytes())));
     }
 
     /** Sends the caller to the primary, if that is another; whether it did. */
--- a/src/main/java/quartzspan/customhouse/Main.java
+++ b/src/main/java/quartzspan/customhouse/Main.java
@@ -2,7 +2,6 @@
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import quartzspan.papers.Refusal;
 import quartzspan.papers.Settings;
 import sun.misc.Signal;
 
@@ -13,13 +12,13 @@
     private Main() { }
 
     /** Takes no arguments: all comes from the settings file. */
-    public static void main(String[] args) throws Exception {
+    public static void main(String[] args) {
         try {
             // Nothing of a core machine's settings may change while it runs.
             Signal.handle(new Signal("HUP"), hup -> { });
             Customhouse house = Customhouse.start(Settings.load());
             Runtime.getRuntime().addShutdownHook(new Thread(house::stop));
-        } catch (Refusal why) {
+        } catch (Exception why) {
             Settings.refuse(why, LOG::error);
         }
     }
--- a/src/main/java/quartzspan/papers/Refusal.java
+++ b/src/main/java/quartzspan/papers/Refusal.java
@@ -36,6 +36,15 @@
         this.remedy = remedy;
     }
 
+    /** The refusal among a failure and its causes; null if there is none. */
+    public static Refusal in(Throwable failure) {
+        Throwable at = failure;
+        while (at != null && !(at instanceof Refusal)) {
+            at = at.getCause();
+        }
+        return (Refusal) at;
+    }
+
     public Code code() {
         return code;
     }
--- a/src/main/java/quartzspan/papers/Settings.java
+++ b/src/main/java/quartzspan/papers/Settings.java
@@ -104,6 +104,14 @@
         return new InetSocketAddress(ip, internalPort);
     }
 
+    /** Where state is kept; refused by name on a machine without a disk. */
+    public Path disk() {
+        if (dataDirectory == null) {
+            throw invalid("data_directory", "is missing, but a core machine keeps state");
+        }
+        return dataDirectory;
+    }
+
     /** Where the process serves something; refused by name if the settings don't say. */
     public InetSocketAddress listens(String what) {
         InetSocketAddress at = listen.get(what);
@@ -200,9 +208,10 @@
         }
     }
 
-    /** Ends the program as a refusal says, with one line. */
-    public static void refuse(Refusal why, Consumer<String> log) {
-        log.accept(why.toString());
-        System.exit(why.code().exit());
+    /** Ends a program whose start failed, with one line and the status of the refusal behind it. */
+    public static void refuse(Exception why, Consumer<String> log) {
+        Refusal refusal = Refusal.in(why);
+        log.accept(refusal != null ? refusal.toString() : "the start failed: " + why);
+        System.exit(refusal != null ? refusal.code().exit() : 1);
     }
 }
--- a/src/test/java/quartzspan/papers/SettingsTest.java
+++ b/src/test/java/quartzspan/papers/SettingsTest.java
@@ -23,6 +23,10 @@
         assertEquals(1, s.losses());
         assertEquals(0.2, s.bounds().retryBudgetRatio());
         assertNull(s.dataDirectory());
+        assertTrue(assertThrows(Refusal.class, s::disk).getMessage().contains("data_directory"));
+        assertEquals(Refusal.Code.SETTINGS_INVALID, Refusal.in(new java.util.concurrent.ExecutionException(
+                assertThrows(Refusal.class, s::disk))).code(), "also where the loop was asked");
+        assertNull(Refusal.in(new IllegalStateException("no refusal")));
         assertTrue(assertThrows(Refusal.class, () -> s.listens("control_plane")).getMessage().contains("control_plane"));
     }
 
