--- a/src/main/java/mulleinfront/proxy/Frontend.java
+++ b/src/main/java/mulleinfront/proxy/Frontend.java
@@ -166,7 +166,13 @@
         long readFor = TimeUnit.MILLISECONDS.toNanos(terms.readMs());
         for (Client c; !reading.isEmpty() && now - (c = reading.iterator().next()).readAt > readFor;) {
             reading.remove(c);
-            c.tooLong();
+            if (c.busy) {
+                // Its next request has time anew: what is open must not end with it.
+                c.readAt = now;
+                reading.add(c);
+            } else {
+                c.tooLong();
+            }
         }
     }
 
