--- /dev/null
+++ b/src/test/java/mulleinfront/proxy/FrontendTest.java
@@ -0,0 +1,58 @@
+package mulleinfront.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.io.BufferedReader;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** What clients connect to, by itself. */
+class FrontendTest {
+    /** A next request that is slow in coming is its own affair: what is open on its connection is answered. */
+    @Test
+    void aHalfSentNextRequestDoesNotEndTheOpenOne() throws Exception {
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        EventLoop loop = group.next();
+        try {
+            Frontend frontend = loop.submit(() -> new Frontend(new Frontend.Desk() {
+                @Override
+                public long now() {
+                    return System.nanoTime() / 1000;
+                }
+
+                @Override
+                public void take(Frontend.Client client, HttpRequest in, byte[] body, long at) {
+                    // Long after the slow one's time is up.
+                    loop.schedule(() -> client.answer(HttpResponseStatus.OK), 900, TimeUnit.MILLISECONDS);
+                }
+
+                @Override
+                public Frontend.Terms terms() {
+                    return new Frontend.Terms(8, 8_192, 8_192, 30_000, 100);
+                }
+            }, loop)).get();
+            loop.submit(() -> frontend.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))).get().await();
+            try (Socket s = new Socket(InetAddress.getLoopbackAddress(), frontend.port())) {
+                s.setSoTimeout(10_000);
+                s.getOutputStream().write(("GET /a HTTP/1.1\r\nHost: h\r\n\r\nPOST /b HTTP/1.1\r\nHost: h\r\n"
+                        + "Content-Length: 10\r\n\r\n12345").getBytes(StandardCharsets.US_ASCII));
+                BufferedReader in = new BufferedReader(
+                        new InputStreamReader(s.getInputStream(), StandardCharsets.US_ASCII));
+                assertEquals("HTTP/1.1 200 OK", in.readLine());
+            }
+        } finally {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+    }
+}
