--- a/src/main/java/mulleinfront/Balancer.java
+++ b/src/main/java/mulleinfront/Balancer.java
@@ -85,7 +85,11 @@
     }
 
     /** The endpoints that drop repeats of a {@link Effect#DEDUP} request. */
-    enum DedupScope { ALL, ZONE, CELL }
+    enum DedupScope {
+        ALL,
+        ZONE,
+        CELL
+    }
 
     /** How an endpoint list came about. */
     enum Source {
@@ -98,12 +102,22 @@
     }
 
     /** What discovery says of an endpoint's process. */
-    enum Availability { READY, DRAINING, GONE }
+    enum Availability {
+        READY,
+        DRAINING,
+        GONE
+    }
 
     /** How an attempt ended. */
     enum Outcome {
-        OK(false), FAILED(false), QUEUE_FULL(true), TIMED_OUT(false), CONNECT_ERROR(true), RESET(false),
-        CANCELED(false), IGNORED(true);
+        OK(false),
+        FAILED(false),
+        QUEUE_FULL(true),
+        TIMED_OUT(false),
+        CONNECT_ERROR(true),
+        RESET(false),
+        CANCELED(false),
+        IGNORED(true);
 
         private final boolean neverRan;
 
@@ -128,8 +142,8 @@
      * @param weight size relative to other endpoints, above 0
      * @param startedAtUs time of its last start; 0 if long ago
      */
-    record Endpoint(String id, int zone, int cell, int kind, Availability availability, double weight,
-            long startedAtUs) {}
+    record Endpoint(
+            String id, int zone, int cell, int kind, Availability availability, double weight, long startedAtUs) {}
 
     /**
      * A request of a client.
@@ -142,8 +156,7 @@
      * @param tenant position in {@link Settings#tenantShares}; ignored when there are none
      * @param repeat whether the client marks it as a repeat
      */
-    record Request(String id, int classIndex, String key, long budgetUs, long expectedUs,
-            int tenant, boolean repeat) {}
+    record Request(String id, int classIndex, String key, long budgetUs, long expectedUs, int tenant, boolean repeat) {}
 
     /**
      * The end of an attempt.
@@ -169,8 +182,16 @@
      * @param aimStretch how many times its own work is added to the aim
      * @param deadlineUs the client's whole patience
      */
-    record RequestClass(String name, Effect effect, DedupScope scope, long dedupWindowUs, double worth,
-            double lateWorth, long aimUs, double aimStretch, long deadlineUs) {
+    record RequestClass(
+            String name,
+            Effect effect,
+            DedupScope scope,
+            long dedupWindowUs,
+            double worth,
+            double lateWorth,
+            long aimUs,
+            double aimStretch,
+            long deadlineUs) {
         /** Rejects nonsense by name. */
         public RequestClass {
             Settings.need(effect != null, name + ": effect is missing");
@@ -197,8 +218,15 @@
      * @param limits what the deployment permits
      * @param contract the figures of the rules
      */
-    record Settings(List<RequestClass> classes, List<Double> tenantShares, double overShareWorth,
-            int instances, double probePrice, boolean subscribe, boolean weightsVary, Limits limits,
+    record Settings(
+            List<RequestClass> classes,
+            List<Double> tenantShares,
+            double overShareWorth,
+            int instances,
+            double probePrice,
+            boolean subscribe,
+            boolean weightsVary,
+            Limits limits,
             Contract contract) {
         /** Copies the lists and rejects nonsense by name. */
         public Settings {
@@ -227,8 +255,7 @@
      * @param maxRetryAfterUs longest advice a client honours; 0 where none is passed on
      * @param connIdleUs time after which idle connections close
      */
-    record Limits(int maxAttempts, boolean mayCancel, boolean mayProbe, long maxRetryAfterUs,
-            long connIdleUs) {
+    record Limits(int maxAttempts, boolean mayCancel, boolean mayProbe, long maxRetryAfterUs, long connIdleUs) {
         /** Rejects nonsense by name. */
         public Limits {
             Settings.need(maxAttempts >= 1, "limits.maxAttempts must be at least 1");
--- a/src/main/java/mulleinfront/Logic.java
+++ b/src/main/java/mulleinfront/Logic.java
@@ -33,6 +33,7 @@
     private static final int POINTS = 100;
     /** Most and fewest ring points of an endpoint, so that a stray weight can't swallow the ring. */
     private static final int MOST_POINTS = 800;
+
     private static final int FEWEST_POINTS = 20;
     /** Time between sweeps, microseconds: short against any aim, rare against requests. */
     private static final long SWEEP_US = 50_000;
@@ -40,14 +41,17 @@
     private static final double POOL_GAIN = 1.0 / 16;
     /** Kinds told apart, and the least capacity a kind counts for. */
     private static final int KINDS = 64;
+
     private static final double LEAST_KIND = 0.25;
     /** Samples over which a class's lag is smoothed, and the rise of what counts as usual, per second. */
     private static final double CLASS_GAIN = 1.0 / 64;
+
     private static final double USUAL_RISE = 0.03;
     /** Usual lag before any answer, as part of the aim: high, for it falls faster than it rises. */
     private static final double FIRST_USUAL = 0.25;
     /** A lag of this many times the usual, or part of the aim if not ordinary, tells of crowding. */
     private static final double CROWDED = 3;
+
     private static final double CROWDED_AIM = 0.6;
     private static final double ORDINARY = 1.5;
     private static final double CUT = 0.85;
@@ -62,17 +66,21 @@
     private static final double CAUTION = 10;
     /** Part of endpoints late from which it is the fleet's trouble, and how fast the whole cut is reached. */
     private static final double FEW_LATE = 0.2;
+
     private static final double LATE_SLOPE = 5;
     /** Cut of admission by a lost attempt (a late one: half), and growth by a good one. */
     private static final double ADMIT_CUT = 0.4;
+
     private static final double ADMIT_GROW = 0.05;
     /** Admissions that may be saved up; the lower a request's worth, the more must be left after it. */
     private static final double MOST_SAVED = 3;
     /** Growth of a limit in use: attempts for each limit of good answers (each one until the first cut). */
     private static final double GROW = 0.5;
+
     private static final double REGAIN = 0.2;
     /** Limit of attempts out at one endpoint at the start; the least share that it and admission fall to. */
     private static final double FIRST_LIMIT = 2;
+
     private static final double LEAST_LIMIT = 0.1;
     /** Time after which a tenant's traffic is forgotten to 1/e, microseconds. */
     private static final double FORGET_US = 10_000_000;
@@ -94,6 +102,7 @@
     private static final double SPILL_ROOM = 0.7;
     /** Share of failures that tells a failing endpoint, and the least that is taken as common to all. */
     private static final double FAILING = 0.5;
+
     private static final double LEAST_COMMON = 0.02;
     /** What one failure tells where they are rarest (a log likelihood ratio); three in a row eject. */
     private static final double ONE_FAILURE = Math.log(FAILING / LEAST_COMMON);
@@ -101,14 +110,17 @@
     private static final double COMMON_GAIN = 1.0 / 256;
     /** Silence: nothing back for this many usual lags, and at least this part of the aim. */
     private static final double SILENT_LAGS = 4;
+
     private static final double SILENT_AIM = 0.4;
     /** First ejection, microseconds; doubles up to the longest with each that follows soon. */
     private static final long EJECT_US = 1_000_000;
+
     private static final long LONGEST_EJECT_US = 8_000_000;
     /** Share of the ring that may be ejected on suspicion: beyond it the trouble is elsewhere. */
     private static final double MOST_EJECTED = 0.4;
     /** Retry budget: each request earns this part of a retry; the most that can be saved up. */
     private static final double RETRY_EARN = 0.25;
+
     private static final double RETRY_MOST = 20;
     /** Part of the aim for which a request of the highest worth may be held when nobody can take it. */
     private static final double HOLD_AIM = 0.4;
@@ -116,6 +128,7 @@
     private static final double REPEAT_WORTH = 0.3;
     /** Part of the aim, and usual lags, that a probe may take before its endpoint is passed over as busy. */
     private static final double PROBE_AIM = 0.12;
+
     private static final double PROBE_LAGS = 2;
     /** Time for which a prompt answer spares a probe, microseconds. */
     private static final long PROMPT_US = 500_000;
@@ -125,6 +138,7 @@
     private static final int MOST_PROBES = 3;
     /** Part of a whole try's budget under which one is a repeat; how a large one fades by each request. */
     private static final double WHOLE_TRY = 0.95;
+
     private static final double WHOLE_FADE = 0.999;
     /** Part of the time left that one attempt may use while another could follow. */
     private static final double ATTEMPT_PART = 0.6;
@@ -141,11 +155,13 @@
     /** Requests answered or gone with attempts still out, whose outcomes still teach. */
     private final HashMap<String, Req> ended = new HashMap<>();
     /** Requests on hold, the worthiest first, then the oldest. */
-    private final TreeSet<Req> held = new TreeSet<>(
-            Comparator.comparingDouble((Req r) -> -r.worth).thenComparingLong(r -> r.order));
+    private final TreeSet<Req> held =
+            new TreeSet<>(Comparator.comparingDouble((Req r) -> -r.worth).thenComparingLong(r -> r.order));
+
     private final Ring<Node> ring = new Ring<>();
     /** Listed endpoints in order of listing. */
     private final List<Node> listed = new ArrayList<>();
+
     private final double[] meanLag;
     private final double[] usualLag;
     private final double[] whole;
@@ -155,10 +171,12 @@
     private final boolean many;
     /** Lag against the usual by kind of endpoint: at little traffic no endpoint alone shows it. */
     private final double[] kindRatio = new double[KINDS];
+
     private double tenantTotal;
     private long tenantAt;
     /** Capacity of all usable endpoints, and what was asked for of late; see {@link #weigh}. */
     private double capacity;
+
     private double offered;
     /** Part of the latest answers, over all endpoints, that were late or lost. */
     private double strain;
@@ -166,9 +184,11 @@
     private double lateShare;
     /** Part of the latest attempts, over all endpoints not ejected, that failed. */
     private double commonFailures;
+
     private long weighedAt = Long.MIN_VALUE / 2;
     /** Share of requests admitted, from all answers alike, and admissions saved up. */
     private double admitted = 1;
+
     private double saved = MOST_SAVED;
     private double retryTokens = RETRY_MOST / 2;
     private long sends;
@@ -181,6 +201,7 @@
     private long nextHold = Long.MAX_VALUE;
     /** Requests waiting for a probe of the endpoint they are to go to. */
     private final List<Req> probing = new ArrayList<>();
+
     private long nextProbe = Long.MAX_VALUE;
     private boolean asking;
     private boolean subscribed;
@@ -197,8 +218,13 @@
         this.tenantRecent = new double[settings.tenantShares().size()];
         Arrays.setAll(usualLag, i -> meanLag[i] = settings.classes().get(i).aimUs() * FIRST_USUAL);
         Arrays.fill(kindRatio, 1);
-        this.mostWorth = settings.classes().stream().mapToDouble(RequestClass::worth).reduce(1e-9, Math::max);
-        this.safest = settings.classes().stream().map(RequestClass::effect).sorted().iterator().next();
+        this.mostWorth =
+                settings.classes().stream().mapToDouble(RequestClass::worth).reduce(1e-9, Math::max);
+        this.safest = settings.classes().stream()
+                .map(RequestClass::effect)
+                .sorted()
+                .iterator()
+                .next();
         this.many = settings.instances() > MANY;
         this.tenantAt = now;
         this.nextSweep = now + SWEEP_US;
@@ -219,8 +245,7 @@
         }
         walk++;
         for (Endpoint e : entries) {
-            Node n = nodes.computeIfAbsent(e.id(),
-                    id -> new Node(id, HASH.hashCharsToLong(id), FIRST_LIMIT));
+            Node n = nodes.computeIfAbsent(e.id(), id -> new Node(id, HASH.hashCharsToLong(id), FIRST_LIMIT));
             n.seen = walk;
             if (e.availability() != Availability.GONE) {
                 update(n, e, now);
@@ -262,7 +287,8 @@
         asking = false;
         subscribed = false;
         askAt = now + (long) (askWait * (0.5 + random.nextDouble()));
-        askWait = Math.min(2 * askWait, Math.max(ASK_AGAIN_US, settings.contract().askWithinUs() / 4));
+        askWait =
+                Math.min(2 * askWait, Math.max(ASK_AGAIN_US, settings.contract().askWithinUs() / 4));
         arm(now);
     }
 
@@ -300,7 +326,7 @@
         // What is asked of each endpoint counts when a request is first placed, and again after each probe.
         double asked = r.attempts.isEmpty() && r.holdUntil == 0 ? 1 : 0;
         offered += asked;
-        Attempt bond = bond(r);
+        Attempt earlier = earlierAttempt(r);
         boolean keyless = r.in.key() == null;
         walk++;
         int left = listed.size();
@@ -317,7 +343,7 @@
             n.seen = walk;
             left--;
             boolean tried = !r.attempts.isEmpty() && r.attempts.stream().anyMatch(a -> a.node == n);
-            if (!n.ready || tried || !inGroup(r, bond, n) || !coldAdmits(n, now)) {
+            if (!n.ready || tried || !inGroup(r, earlier, n) || !coldAdmits(n, now)) {
                 continue;
             }
             if (n.ejected) {
@@ -441,8 +467,8 @@
 
     private boolean crowded(Attempt a, long lag) {
         double usual = usualLag[a.req.in.classIndex()];
-        return a.at >= wokeAt && lag > Math.min(CROWDED * usual,
-                Math.max(CROWDED_AIM * a.req.type.aimUs(), ORDINARY * usual));
+        double most = Math.max(CROWDED_AIM * a.req.type.aimUs(), ORDINARY * usual);
+        return a.at >= wokeAt && lag > Math.min(CROWDED * usual, most);
     }
 
     /** Whether the endpoint's limit leaves room; one under 1 is the share of requests that may go there. */
@@ -477,7 +503,10 @@
             return;
         }
         double all = listed.stream().mapToDouble(o -> o.weight).sum();
-        double outWeight = listed.stream().filter(o -> o.ejected || o == n).mapToDouble(o -> o.weight).sum();
+        double outWeight = listed.stream()
+                .filter(o -> o.ejected || o == n)
+                .mapToDouble(o -> o.weight)
+                .sum();
         if (!down && !n.ejected && outWeight > MOST_EJECTED * all) {
             return;
         }
@@ -535,15 +564,19 @@
             if (silent) {
                 eject(n, now, false);
             }
-            n.outstanding.stream().filter(a -> silent && n.ejected || lost(a, now))
+            n.outstanding.stream()
+                    .filter(a -> silent && n.ejected || lost(a, now))
                     .filter(a -> open.get(a.req.in.id()) == a.req && mayResend(a.req, now))
                     .forEach(this::cancel);
         }
     }
 
     private boolean silent(Node n, long now) {
-        return n.outstanding.stream().filter(a -> !a.streaming && !a.canceled).findFirst()
-                .filter(a -> now - Math.max(Math.max(a.at, n.lastAnswer), wokeAt) > patience(a)).isPresent();
+        return n.outstanding.stream()
+                .filter(a -> !a.streaming && !a.canceled)
+                .findFirst()
+                .filter(a -> now - Math.max(Math.max(a.at, n.lastAnswer), wokeAt) > patience(a))
+                .isPresent();
     }
 
     private double patience(Attempt a) {
@@ -609,7 +642,8 @@
         }
         tenantRecent[t]++;
         // Few requests meet by chance: one deviation is granted, or small tenants would always be over.
-        double within = settings.tenantShares().get(t) * tenantTotal
+        double within = settings.tenantShares().get(t)
+                * tenantTotal
                 / Math.max(1e-9, tenantRecent[t] - Math.sqrt(tenantRecent[t]));
         return within >= 1 ? 1 : within + (1 - within) * settings.overShareWorth();
     }
@@ -629,9 +663,14 @@
     /** Whether to probe first: nothing came back promptly from there of late, and there is time for it. */
     private boolean doubtful(Req r, Node n, long now) {
         long patience = probePatience(r);
-        return settings.limits().mayProbe() && many && r.cautious
-                && strain > PROBE_PAYS * settings.probePrice() && r.probes < MOST_PROBES
-                && now >= n.busyUntil && !n.ejected && now - n.promptAt > PROMPT_US
+        return settings.limits().mayProbe()
+                && many
+                && r.cautious
+                && strain > PROBE_PAYS * settings.probePrice()
+                && r.probes < MOST_PROBES
+                && now >= n.busyUntil
+                && !n.ejected
+                && now - n.promptAt > PROMPT_US
                 && r.worthUntil() - now > 4 * patience;
     }
 
@@ -708,7 +747,8 @@
         if (held.isEmpty() && now < nextHold) {
             return;
         }
-        List<Req> first = now >= nextHold ? List.copyOf(held) : held.stream().limit(16).toList();
+        List<Req> first =
+                now >= nextHold ? List.copyOf(held) : held.stream().limit(16).toList();
         nextHold = now >= nextHold ? Long.MAX_VALUE : nextHold;
         int stuck = 0;
         for (Req r : first) {
@@ -753,26 +793,36 @@
     // ---- effects -------------------------------------------------------------------------------------
 
     /** The earliest attempt that may have run or may yet; it binds what may follow. */
-    private static Attempt bond(Req r) {
+    private static Attempt earlierAttempt(Req r) {
         return r.attempts.stream().filter(Attempt::mayHaveRun).findFirst().orElse(null);
     }
 
-    private static boolean inGroup(Req r, Attempt bond, Node n) {
-        return bond == null || r.type.effect() != Effect.DEDUP || r.type.scope() == DedupScope.ALL
-                || (r.type.scope() == DedupScope.ZONE ? n.zone == bond.node.zone : n.cell == bond.node.cell);
+    private static boolean inGroup(Req r, Attempt earlier, Node n) {
+        if (earlier == null || r.type.effect() != Effect.DEDUP) {
+            return true;
+        }
+        return switch (r.type.scope()) {
+            case ALL -> true;
+            case ZONE -> n.zone == earlier.node.zone;
+            default -> n.cell == earlier.node.cell;
+        };
     }
 
     /** Whether a further attempt is harmless, has time, and the retry budget allows it. */
     private boolean mayResend(Req r, long now) {
-        Attempt bond = bond(r);
-        boolean harmless = bond == null || r.type.effect() == Effect.RETRYABLE
-                || r.type.effect() == Effect.DEDUP && now < bond.at + r.type.dedupWindowUs();
-        return harmless && r.attempts.size() < settings.limits().maxAttempts() && retryTokens >= 1
+        Attempt earlier = earlierAttempt(r);
+        boolean harmless = earlier == null
+                || r.type.effect() == Effect.RETRYABLE
+                || r.type.effect() == Effect.DEDUP && now < earlier.at + r.type.dedupWindowUs();
+        return harmless
+                && r.attempts.size() < settings.limits().maxAttempts()
+                && retryTokens >= 1
                 && r.worthUntil() - now > usualLag[r.in.classIndex()] / 2;
     }
 
     private boolean mayRefuse(Req r) {
-        return bond(r) == null || r.type.effect() == Effect.RETRYABLE
+        return earlierAttempt(r) == null
+                || r.type.effect() == Effect.RETRYABLE
                 || r.type.effect() == Effect.DEDUP && r.type.scope() == DedupScope.ALL;
     }
 
@@ -789,7 +839,10 @@
 
     /** Stops waiting for an attempt that is out and may be cancelled. */
     private void cancel(Attempt a) {
-        if (a.outcome == null && !a.canceled && !a.streaming && settings.limits().mayCancel()) {
+        if (a.outcome == null
+                && !a.canceled
+                && !a.streaming
+                && settings.limits().mayCancel()) {
             a.canceled = true;
             out.cancel(a.req.in.id(), a.number);
         }
@@ -830,7 +883,9 @@
         Req r = open.get(end.requestId());
         boolean alive = r != null;
         r = alive ? r : ended.get(end.requestId());
-        if (r == null || end.attempt() < 0 || end.attempt() >= r.attempts.size()
+        if (r == null
+                || end.attempt() < 0
+                || end.attempt() >= r.attempts.size()
                 || r.attempts.get(end.attempt()).outcome != null) {
             return;
         }
@@ -867,7 +922,8 @@
         if (o == Outcome.OK && !a.streaming) {
             learnLag(a, end.lagUs(), now, true);
         } else if ((o == Outcome.TIMED_OUT || o == Outcome.CANCELED && a.canceled)
-                && crowded(a, end.lagUs()) && !overtaken(a)) {
+                && crowded(a, end.lagUs())
+                && !overtaken(a)) {
             // Before an ordinary answer's time a loss tells of the client, and overtaken of one answer only.
             learnLag(a, end.lagUs(), now, false);
         }
--- a/src/main/java/mulleinfront/Main.java
+++ b/src/main/java/mulleinfront/Main.java
@@ -19,7 +19,7 @@
 
 /**
  * Command line entry: {@code java -jar mulleinfront.jar serve}, or {@code benchlink} for the bench;
- * {@code rehearse} is for the build.
+ * {@code warmup} is for the build.
  */
 public final class Main {
     private Main() {}
@@ -28,7 +28,7 @@
      * Starts the client proxy that {@code NODE_CONFIG} describes, or the bench adapter on standard input
      * and output.
      *
-     * @param args exactly one word, {@code serve}, {@code benchlink} or {@code rehearse}
+     * @param args exactly one word, {@code serve}, {@code benchlink} or {@code warmup}
      */
     public static void main(String[] args) {
         String mode = args.length == 1 ? args[0] : "";
@@ -36,9 +36,9 @@
             switch (mode) {
                 case "benchlink" -> Adapter.run(System.in, System.out);
                 case "serve" -> serve();
-                case "rehearse" -> rehearse();
+                case "warmup" -> warmUp();
                 default -> {
-                    System.err.println("usage: java -jar mulleinfront.jar serve|benchlink|rehearse");
+                    System.err.println("usage: java -jar mulleinfront.jar serve|benchlink|warmup");
                     System.exit(2);
                 }
             }
@@ -70,14 +70,15 @@
      * Starts as a client proxy does, refuses one request for want of hosts and ends: while it does, the build
      * lets the JVM note which classes a start needs, so that the deployed one has them at hand.
      */
-    private static void rehearse() throws Exception {
+    private static void warmUp() throws Exception {
         logPlainly();
-        try (InputStream sample = Main.class.getResourceAsStream("/rehearsal.json")) {
-            ClientProxy proxy = ClientProxy.start(Config.parse(sample.readAllBytes()), starting -> { });
+        try (InputStream sample = Main.class.getResourceAsStream("/warmup.json")) {
+            ClientProxy proxy = ClientProxy.start(Config.parse(sample.readAllBytes()), starting -> {});
             try (Socket client = new Socket(InetAddress.getLoopbackAddress(), proxy.port())) {
-                client.getOutputStream().write(("GET /api HTTP/1.1\r\nHost: h\r\nX-Request-Id: a\r\n"
-                        + "X-Class: sample\r\nX-Deadline-Ms: 100\r\nConnection: close\r\n\r\n")
-                        .getBytes(StandardCharsets.US_ASCII));
+                client.getOutputStream()
+                        .write(("GET /api HTTP/1.1\r\nHost: h\r\nX-Request-Id: a\r\n"
+                                        + "X-Class: sample\r\nX-Deadline-Ms: 100\r\nConnection: close\r\n\r\n")
+                                .getBytes(StandardCharsets.US_ASCII));
                 client.getInputStream().readAllBytes();
             }
             proxy.drain().awaitUninterruptibly();
@@ -108,10 +109,10 @@
             }
 
             @Override
-            public void flush() { }
+            public void flush() {}
 
             @Override
-            public void close() { }
+            public void close() {}
         });
     }
 }
--- a/src/main/java/mulleinfront/Placement.java
+++ b/src/main/java/mulleinfront/Placement.java
@@ -31,6 +31,7 @@
     private static final int MOST_KEYS = 8_192;
     /** Failed connections or answers in a row that make a server failing, and for how long at first and at most. */
     private static final int FAILURES = 2;
+
     private static final long ASIDE_US = 700_000;
     private static final long LONGEST_ASIDE_US = 6_000_000;
     /** How long a server that was full is passed over. */
@@ -275,8 +276,7 @@
         if (last != null && !last.id.equals(server) && now >= last.asideUntil) {
             return last.id;
         }
-        return !owner.id.equals(server) ? owner.id
-                : next != null && now - owner.since < YOUNG_US ? next.id : null;
+        return !owner.id.equals(server) ? owner.id : next != null && now - owner.since < YOUNG_US ? next.id : null;
     }
 
     private void add(String server, double work) {
@@ -315,7 +315,7 @@
                     n.asideFor = Math.min(LONGEST_ASIDE_US, 2 * n.asideFor);
                 }
             }
-            default -> { }
+            default -> {}
         }
     }
 
--- a/src/main/java/mulleinfront/Ring.java
+++ b/src/main/java/mulleinfront/Ring.java
@@ -20,6 +20,7 @@
     private long[] points = {};
     /** Owners by slot; null where the owner has left. */
     private final List<T> slots = new ArrayList<>();
+
     private final List<T> joining = new ArrayList<>();
     private final List<long[]> joiningPoints = new ArrayList<>();
     private boolean changed;
@@ -60,7 +61,9 @@
             return;
         }
         changed = false;
-        long[] kept = Arrays.stream(points).filter(p -> slots.get((int) p & SLOT_BITS) != null).toArray();
+        long[] kept = Arrays.stream(points)
+                .filter(p -> slots.get((int) p & SLOT_BITS) != null)
+                .toArray();
         long[] fresh = new long[joiningPoints.stream().mapToInt(h -> h.length).sum()];
         int filled = 0;
         for (int i = 0; i < joining.size(); i++) {
@@ -78,7 +81,7 @@
         joiningPoints.clear();
         Arrays.sort(fresh);
         points = new long[kept.length + fresh.length];
-        for (int i = 0, j = 0; i + j < points.length;) {
+        for (int i = 0, j = 0; i + j < points.length; ) {
             boolean old = j == fresh.length || i < kept.length && kept[i] < fresh[j];
             points[i + j] = old ? kept[i++] : fresh[j++];
         }
--- a/src/main/java/mulleinfront/State.java
+++ b/src/main/java/mulleinfront/State.java
@@ -8,7 +8,7 @@
 
 /** What {@link Logic} remembers of endpoints, requests and attempts; it holds figures and decides nothing. */
 final class State {
-    private State() { }
+    private State() {}
 
     /** What is known of one endpoint. Kept after it leaves the list, for attempts still out. */
     static final class Node {
@@ -33,9 +33,11 @@
         boolean everCut;
         /** How much more likely its latest attempts are of a failing endpoint than of any, as a logarithm. */
         double failing;
+
         long lastAnswer;
         /** When the latest of the attempts that were answered was sent. */
         long answeredAt = Long.MIN_VALUE;
+
         long connectedUntil;
         double credit;
         long creditAt;
--- a/src/main/java/mulleinfront/benchlink/Adapter.java
+++ b/src/main/java/mulleinfront/benchlink/Adapter.java
@@ -29,6 +29,7 @@
     private final TreeMap<Integer, Instance> instances = new TreeMap<>();
     /** Instances addressed by the batch at hand, in order. */
     private final List<Instance> addressed = new ArrayList<>();
+
     private final List<List<Endpoint>> tables = new ArrayList<>();
 
     private Adapter(InputStream input, OutputStream output) throws IOException {
@@ -57,7 +58,8 @@
 
     /** One plain line that says what went wrong. */
     public static String plain(Exception e) {
-        String text = e instanceof JsonProcessingException j ? "malformed input: " + j.getOriginalMessage()
+        String text = e instanceof JsonProcessingException j
+                ? "malformed input: " + j.getOriginalMessage()
                 : String.valueOf(e.getMessage());
         return text.replace('\n', ' ');
     }
@@ -146,8 +148,7 @@
     }
 
     /** An action on its way to the wire; {@code number} is written under {@code numberName} if that is set. */
-    private record Action(String type, String requestId, String host, String numberName, long number,
-            String text) {
+    private record Action(String type, String requestId, String host, String numberName, long number, String text) {
         void write(JsonGenerator out) throws IOException {
             out.writeStartObject();
             out.writeStringField("m", type);
@@ -164,7 +165,7 @@
                 case "TIMER" -> out.writeStringField("name", "wake");
                 case "OBSERVE" -> out.writeBooleanField("enable", true);
                 case "CRASH" -> out.writeStringField("msg", text);
-                default -> { }
+                default -> {}
             }
             out.writeEndObject();
         }
@@ -193,28 +194,37 @@
             }
             switch (e.type) {
                 case "DISCOVERY" -> discovery(e, now);
-                case "ORDER" -> balancer.onRequest(now, new Request(e.requestId, e.classIndex, e.key, e.budgetUs,
-                        (e.bits & 1) != 0 ? e.expectedUs : 0, e.tenant, (e.bits & 2) != 0));
+                case "ORDER" -> balancer.onRequest(
+                        now,
+                        new Request(
+                                e.requestId,
+                                e.classIndex,
+                                e.key,
+                                e.budgetUs,
+                                (e.bits & 1) != 0 ? e.expectedUs : 0,
+                                e.tenant,
+                                (e.bits & 2) != 0));
                 case "ABORTED" -> balancer.onRequestGone(now, e.requestId);
                 case "FIRST_BYTE" -> balancer.onStreamStarted(now, e.requestId, e.attempt);
-                case "ENDED" -> balancer.onAttemptEnded(now, new AttemptEnd(e.requestId, e.attempt,
-                        outcome(e.outcome), e.complete, e.lagUs));
+                case "ENDED" -> balancer.onAttemptEnded(
+                        now, new AttemptEnd(e.requestId, e.attempt, outcome(e.outcome), e.complete, e.lagUs));
                 case "BELL" -> balancer.onTimer(now);
                 case "STOP" -> balancer = null;
                 case "PONG" -> balancer.onProbeEnded(now, e.host, outcome(e.outcome), e.lagUs);
-                case "FROM_PEER" -> { }
+                case "FROM_PEER" -> {}
                 default -> throw new WireException("unknown event " + e.type);
             }
         }
 
         private void discovery(EventReader.Event e, long now) throws WireException {
-            Source source = switch (String.valueOf(e.how)) {
-                case "cached" -> Source.CACHED;
-                case "full" -> Source.FULL;
-                case "delta" -> Source.DELTA;
-                case "failed" -> null;
-                default -> throw new WireException("DISCOVERY: unknown how " + e.how);
-            };
+            Source source =
+                    switch (String.valueOf(e.how)) {
+                        case "cached" -> Source.CACHED;
+                        case "full" -> Source.FULL;
+                        case "delta" -> Source.DELTA;
+                        case "failed" -> null;
+                        default -> throw new WireException("DISCOVERY: unknown how " + e.how);
+                    };
             if (source == null) {
                 balancer.onDiscoveryFailed(now);
             } else if (e.table < 0 || e.table >= TABLES) {
@@ -235,8 +245,8 @@
 
         @Override
         public void refuse(String requestId, long retryAfterUs) {
-            pending.add(new Action("PUSH_BACK", requestId, null, retryAfterUs > 0 ? "holdOffUs" : null,
-                    retryAfterUs, null));
+            pending.add(new Action(
+                    "PUSH_BACK", requestId, null, retryAfterUs > 0 ? "holdOffUs" : null, retryAfterUs, null));
         }
 
         @Override
--- a/src/main/java/mulleinfront/benchlink/EventReader.java
+++ b/src/main/java/mulleinfront/benchlink/EventReader.java
@@ -15,6 +15,7 @@
     private int size;
     /** Three numbers a group: instance, first event, end of events. */
     private int[] groups = new int[48];
+
     private int groupCount;
 
     EventReader(JsonParser in) {
--- a/src/main/java/mulleinfront/benchlink/SettingsReader.java
+++ b/src/main/java/mulleinfront/benchlink/SettingsReader.java
@@ -95,39 +95,53 @@
         Map<String, Object> limits = map(root.get("limits"), "limits");
         Map<String, Object> contract = map(root.get("contract"), "contract");
         boolean retryAfter = flag(limits, "retryAfter", false);
-        return new Settings(classes, shares, number(root, "overShareWorth", 1),
+        return new Settings(
+                classes,
+                shares,
+                number(root, "overShareWorth", 1),
                 (int) number(root, "balancers", 1),
                 number(map(root.get("prices"), "prices"), "probe", 0),
                 "subscribe".equals(text(root, "membershipMode", "automatic")),
                 "live".equals(text(root, "weights", "none")),
-                new Limits((int) number(limits, "maxAttempts", 1), flag(limits, "mayCancel", false),
+                new Limits(
+                        (int) number(limits, "maxAttempts", 1),
+                        flag(limits, "mayCancel", false),
                         flag(limits, "mayProbe", false),
                         retryAfter ? (long) number(limits, "maxRetryAfterUs", 0) : 0,
                         (long) number(limits, "connIdleUs", 15_000_000)),
-                new Contract((long) number(contract, "askWithinUs", 10_000_000),
-                        number(contract, "coldFrom", 1), (long) number(contract, "coldUs", 0)));
+                new Contract((long) number(contract, "askWithinUs", 10_000_000), number(contract, "coldFrom", 1), (long)
+                        number(contract, "coldUs", 0)));
     }
 
     private static RequestClass requestClass(Map<String, Object> c) {
         String name = text(c, "name", "unnamed");
-        Effect effect = switch (text(c, "effect", "fragile")) {
-            case "retryable" -> Effect.RETRYABLE;
-            case "dedup" -> Effect.DEDUP;
-            case "fragile" -> Effect.FRAGILE;
-            default -> throw new IllegalArgumentException(
-                    "settings: " + name + ": unknown effect " + c.get("effect"));
-        };
-        DedupScope scope = switch (text(c, "dedupScope", "none")) {
-            case "all" -> DedupScope.ALL;
-            case "zone" -> DedupScope.ZONE;
-            case "cell" -> DedupScope.CELL;
-            case "none", "" -> null;
-            default -> throw new IllegalArgumentException(
-                    "settings: " + name + ": unknown dedupScope " + c.get("dedupScope"));
-        };
+        Effect effect =
+                switch (text(c, "effect", "fragile")) {
+                    case "retryable" -> Effect.RETRYABLE;
+                    case "dedup" -> Effect.DEDUP;
+                    case "fragile" -> Effect.FRAGILE;
+                    default -> throw new IllegalArgumentException(
+                            "settings: " + name + ": unknown effect " + c.get("effect"));
+                };
+        DedupScope scope =
+                switch (text(c, "dedupScope", "none")) {
+                    case "all" -> DedupScope.ALL;
+                    case "zone" -> DedupScope.ZONE;
+                    case "cell" -> DedupScope.CELL;
+                    case "none", "" -> null;
+                    default -> throw new IllegalArgumentException(
+                            "settings: " + name + ": unknown dedupScope " + c.get("dedupScope"));
+                };
         long aim = (long) number(c, "onTimeUs", number(c, "deadlineUs", 1_000_000));
-        return new RequestClass(name, effect, scope, (long) number(c, "dedupWindowUs", 0),
-                number(c, "worth", 1), number(c, "lateWorth", 0), aim, number(c, "aimStretch", 0),
+        return new RequestClass(
+                name,
+                effect,
+                scope,
+                (long) number(c, "dedupWindowUs", 0),
+                number(c, "worth", 1),
+                number(c, "lateWorth", 0),
+                aim,
+                number(c, "aimStretch", 0),
                 (long) number(c, "deadlineUs", aim));
     }
 
--- a/src/main/java/mulleinfront/proxy/Call.java
+++ b/src/main/java/mulleinfront/proxy/Call.java
@@ -17,23 +17,30 @@
     static final AsciiString DEADLINE = AsciiString.cached("x-deadline-ms");
 
     /** Hop-by-hop headers (RFC 9110, 7.6.1), and those that are written anew for each attempt. */
-    private static final List<AsciiString> OWN = List.of(HttpHeaderNames.CONNECTION,
-            AsciiString.cached("keep-alive"), AsciiString.cached("proxy-connection"), HttpHeaderNames.TE,
-            HttpHeaderNames.TRAILER, HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderNames.UPGRADE,
-            HttpHeaderNames.EXPECT, HttpHeaderNames.CONTENT_LENGTH, DEADLINE);
+    private static final List<AsciiString> OWN = List.of(
+            HttpHeaderNames.CONNECTION,
+            AsciiString.cached("keep-alive"),
+            AsciiString.cached("proxy-connection"),
+            HttpHeaderNames.TE,
+            HttpHeaderNames.TRAILER,
+            HttpHeaderNames.TRANSFER_ENCODING,
+            HttpHeaderNames.UPGRADE,
+            HttpHeaderNames.EXPECT,
+            HttpHeaderNames.CONTENT_LENGTH,
+            DEADLINE);
 
     public static Call of(HttpRequest in, byte[] body) {
         HttpHeaders headers = new DefaultHttpHeaders().set(in.headers());
-        in.headers().getAll(HttpHeaderNames.CONNECTION).forEach(
-                names -> List.of(names.split(",")).forEach(name -> headers.remove(name.trim())));
+        in.headers().getAll(HttpHeaderNames.CONNECTION).forEach(names -> List.of(names.split(","))
+                .forEach(name -> headers.remove(name.trim())));
         OWN.forEach(headers::remove);
         return new Call(in.method().name(), in.uri(), headers, body);
     }
 
     /** A probe. */
     static Call health() {
-        return new Call("GET", "/-/healthy", new DefaultHttpHeaders().set(HttpHeaderNames.HOST, "origin.svc"),
-                new byte[0]);
+        return new Call(
+                "GET", "/-/healthy", new DefaultHttpHeaders().set(HttpHeaderNames.HOST, "origin.svc"), new byte[0]);
     }
 
     /**
--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -50,12 +50,15 @@
     private static final int OWN_SOCKETS = 48;
     /** SIGKILL comes this long after the longest deadline (3 s where that is longer), and no sooner. */
     private static final long KILL_MS = 700;
+
     private static final long MOST_DEADLINE_MS = 3_000;
     /** Whatever is open is answered this long before SIGKILL may come. */
     private static final long KILL_MARGIN_US = 100_000;
+
     static final Upstream.Answer NO_BODY = new Upstream.Answer(new byte[0], null, null);
     /** How often a bind is tried again while the address is still in use, and the wait between. */
     private static final int BIND_AGAIN = 40;
+
     private static final long BIND_AGAIN_MS = 50;
     /** The agent that pushes lists answers at once and at no cost, unlike discovery that is asked. */
     private static final long AGENT_AGAIN_MS = 500;
@@ -79,11 +82,13 @@
     private final Map<String, Exchange> open = new HashMap<>();
     /** Events for the module and its actions, in order; see {@link #run}. */
     private final ArrayDeque<Runnable> work = new ArrayDeque<>();
+
     private boolean working;
-    private boolean rehearsing;
+    private boolean warmingUp;
     private final AtomicBoolean told = new AtomicBoolean();
     /** Done when a list has come from discovery. */
     private final CountDownLatch heard = new CountDownLatch(1);
+
     private long killAt = Long.MAX_VALUE;
     private final Maker maker;
     private Balancer balancer;
@@ -100,8 +105,8 @@
         this.group = group;
         this.loop = group.next();
         int half = Math.max(1, (config.sockets() - OWN_SOCKETS) / 2);
-        this.upstream = new Upstream(loop, config.dialTimeoutUs(), config.settings().limits().connIdleUs(),
-                half);
+        this.upstream = new Upstream(
+                loop, config.dialTimeoutUs(), config.settings().limits().connIdleUs(), half);
         this.discovery = new Discovery(config, loop, upstream, new Discovery.Listener() {
             @Override
             public void listed(Source source, List<Endpoint> endpoints) {
@@ -135,6 +140,7 @@
         private final long endAt;
         /** When it is answered whatever the module does. */
         private long guardAt = Long.MAX_VALUE;
+
         private ScheduledFuture<?> guard;
         private Upstream.Attempt out;
         private int outNumber;
@@ -157,24 +163,31 @@
      * @param listening told of the client proxy before it listens: from then on an end must be a drain
      */
     public static ClientProxy start(Config config, Consumer<ClientProxy> listening) throws Exception {
-        Rehearsal.decide(config.settings());
-        rehearse(config);
+        WarmUp.decide(config.settings());
+        warmUp(config);
         return start(config, Balancer::create, listening);
     }
 
     /** Is its own host for a moment, and not ready; ends before the real one begins. */
-    private static void rehearse(Config config) throws Exception {
+    private static void warmUp(Config config) throws Exception {
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         try {
             ClientProxy proxy = new ClientProxy(config, null, group);
-            proxy.rehearsing = true;
-            proxy.balancer = Rehearsal.module(proxy);
+            proxy.warmingUp = true;
+            proxy.balancer = WarmUp.module(proxy);
             proxy.listen();
-            proxy.loop.submit(() -> {
-                proxy.discovery.take(Rehearsal.self(config.listen().getAddress(), proxy.port()), Source.FULL);
-                return new Rehearsal.Rounds(proxy.loop, proxy.upstream, proxy.discovery.host(Rehearsal.SELF),
-                        config.settings().classes().get(0)).next();
-            }).get().await();
+            proxy.loop
+                    .submit(() -> {
+                        proxy.discovery.take(WarmUp.self(config.listen().getAddress(), proxy.port()), Source.FULL);
+                        return new WarmUp.Rounds(
+                                        proxy.loop,
+                                        proxy.upstream,
+                                        proxy.discovery.host(WarmUp.SELF),
+                                        config.settings().classes().get(0))
+                                .next();
+                    })
+                    .get()
+                    .await();
         } finally {
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS).await();
         }
@@ -190,8 +203,7 @@
             }
             listening.accept(proxy);
             proxy.listen();
-            System.err.println("mulleinfront: listening on "
-                    + NetUtil.toSocketAddressString(config.listen()));
+            System.err.println("mulleinfront: listening on " + NetUtil.toSocketAddressString(config.listen()));
             return proxy;
         } catch (Exception e) {
             proxy.told.set(true);
@@ -201,7 +213,8 @@
     }
 
     private void listen() throws Exception {
-        ChannelFuture bound = loop.submit(() -> frontend.listen(config.listen())).get().await();
+        ChannelFuture bound =
+                loop.submit(() -> frontend.listen(config.listen())).get().await();
         // The address is ours alone, but what held it last may be a moment in going.
         for (int i = 0; i < BIND_AGAIN && bound.cause() instanceof BindException; i++) {
             Thread.sleep(BIND_AGAIN_MS);
@@ -234,8 +247,11 @@
             return group.terminationFuture();
         }
         System.err.println("mulleinfront: told to end; finishing what is open");
-        long longestMs = config.settings().classes().stream().mapToLong(RequestClass::deadlineUs).max()
-                .orElse(0) / 1000;
+        long longestMs = config.settings().classes().stream()
+                        .mapToLong(RequestClass::deadlineUs)
+                        .max()
+                        .orElse(0)
+                / 1000;
         long leftMs = Math.min(longestMs, MOST_DEADLINE_MS) + KILL_MS;
         loop.execute(() -> {
             killAt = now() + leftMs * 1000;
@@ -273,7 +289,7 @@
     }
 
     boolean ready() {
-        return discovery.holdsList() && !rehearsing;
+        return discovery.holdsList() && !warmingUp;
     }
 
     /**
@@ -292,7 +308,7 @@
         }
         working = true;
         try {
-            for (Runnable next; (next = work.poll()) != null;) {
+            for (Runnable next; (next = work.poll()) != null; ) {
                 perform(next);
             }
         } finally {
@@ -305,8 +321,11 @@
             task.run();
         } catch (RuntimeException | LinkageError e) {
             // Exceptions thrown often come without a trace.
-            System.err.println("mulleinfront: " + e + Arrays.stream(e.getStackTrace()).limit(1)
-                    .map(at -> " at " + at).collect(Collectors.joining()));
+            System.err.println("mulleinfront: " + e
+                    + Arrays.stream(e.getStackTrace())
+                            .limit(1)
+                            .map(at -> " at " + at)
+                            .collect(Collectors.joining()));
         }
     }
 
@@ -317,8 +336,8 @@
     public void take(Frontend.Client client, HttpRequest in, byte[] body, long at) {
         String path = in.uri().split("\\?", 2)[0];
         if (path.equals("/-/ready")) {
-            client.answer(ready() && !frontend.draining() ? HttpResponseStatus.OK
-                    : HttpResponseStatus.SERVICE_UNAVAILABLE);
+            client.answer(
+                    ready() && !frontend.draining() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE);
         } else if (!path.equals("/api") && !path.startsWith("/api/")) {
             client.answer(HttpResponseStatus.NOT_FOUND);
         } else {
@@ -335,7 +354,10 @@
         int tenant = config.tenants().indexOf(tenantName);
         boolean known = !h.contains("X-Tenant") || config.tenants().isEmpty() || tenant >= 0;
         boolean fresh = id != null && !id.isEmpty() && !open.containsKey(id);
-        if (!fresh || classIndex == null || deadlineMs < 1 || !known
+        if (!fresh
+                || classIndex == null
+                || deadlineMs < 1
+                || !known
                 || config.settings().classes().get(classIndex).effect() != shown(in, body)) {
             client.answer(HttpResponseStatus.BAD_REQUEST);
             return;
@@ -343,16 +365,21 @@
         RequestClass type = config.settings().classes().get(classIndex);
         // Nobody waits longer than the class's own patience, so neither does a drain.
         long deadlineUs = Math.min(deadlineMs, type.deadlineUs() / 1000 + 1) * 1000;
-        long patience = Math.min(deadlineUs - Math.min(MARGIN_US, deadlineUs / 4),
-                killAt - KILL_MARGIN_US - at);
+        long patience = Math.min(deadlineUs - Math.min(MARGIN_US, deadlineUs / 4), killAt - KILL_MARGIN_US - at);
         long budget = patience - Math.min(LAST_WORD_US, deadlineUs / 8) - (now() - at);
         if (budget <= 0) {
             client.answer(HttpResponseStatus.SERVICE_UNAVAILABLE, NO_BODY, comeBackUs());
             return;
         }
         String key = h.contains("X-Key") ? String.join(",", h.getAll("X-Key")) : null;
-        Request request = new Request(id, classIndex, key, budget,
-                Math.max(0, Framing.number(h.get("X-Cost-Hint"))), tenant, "1".equals(h.get("X-Retry")));
+        Request request = new Request(
+                id,
+                classIndex,
+                key,
+                budget,
+                Math.max(0, Framing.number(h.get("X-Cost-Hint"))),
+                tenant,
+                "1".equals(h.get("X-Retry")));
         Exchange x = new Exchange(client, request, type, Call.of(in, body), now() + budget);
         open.put(id, x);
         guard(x, at + patience);
@@ -405,10 +432,12 @@
     private void timeUp(Exchange x) {
         if (!x.answered) {
             over(x);
-            boolean harmless = x.type.effect() == Effect.RETRYABLE || !x.mayHaveRun && x.out == null
+            boolean harmless = x.type.effect() == Effect.RETRYABLE
+                    || !x.mayHaveRun && x.out == null
                     || x.type.effect() == Effect.DEDUP && x.type.scope() == DedupScope.ALL;
-            x.client.answer(harmless ? HttpResponseStatus.SERVICE_UNAVAILABLE
-                    : HttpResponseStatus.GATEWAY_TIMEOUT, NO_BODY,
+            x.client.answer(
+                    harmless ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.GATEWAY_TIMEOUT,
+                    NO_BODY,
                     harmless ? comeBackUs() : 0);
             tellGone(x);
         }
@@ -450,15 +479,23 @@
         int number = x.attempts++;
         long sentAt = now();
         long left = x.endAt - sentAt;
-        boolean vain = x.answered || left <= 0 || timeoutUs < 0 || x.out != null || host == null
+        boolean vain = x.answered
+                || left <= 0
+                || timeoutUs < 0
+                || x.out != null
+                || host == null
                 || number >= config.settings().limits().maxAttempts();
         if (vain) {
             ended(x, number, sentAt, Outcome.IGNORED);
             return;
         }
         x.outNumber = number;
-        x.out = upstream.attempt(host, x.call, timeoutUs == 0 ? left : Math.min(left, timeoutUs),
-                () -> !x.answered, (outcome, answer) -> {
+        x.out = upstream.attempt(
+                host,
+                x.call,
+                timeoutUs == 0 ? left : Math.min(left, timeoutUs),
+                () -> !x.answered,
+                (outcome, answer) -> {
                     x.out = null;
                     x.mayHaveRun |= !outcome.neverRan();
                     if (outcome == Outcome.OK && !x.answered) {
@@ -473,8 +510,8 @@
 
     private void ended(Exchange x, int number, long sentAt, Outcome outcome) {
         boolean done = x.answered;
-        run(() -> balancer.onAttemptEnded(now(),
-                new AttemptEnd(x.request.id(), number, outcome, done, now() - sentAt)));
+        run(() ->
+                balancer.onAttemptEnded(now(), new AttemptEnd(x.request.id(), number, outcome, done, now() - sentAt)));
     }
 
     @Override
@@ -511,12 +548,13 @@
         work.add(() -> {
             long sentAt = now();
             Upstream.Host host = discovery.host(endpointId);
-            Upstream.End end = (outcome, answer) -> run(
-                    () -> balancer.onProbeEnded(now(), endpointId, outcome, now() - sentAt));
+            Upstream.End end =
+                    (outcome, answer) -> run(() -> balancer.onProbeEnded(now(), endpointId, outcome, now() - sentAt));
             if (host == null) {
                 end.ended(Outcome.IGNORED, null);
             } else {
-                upstream.attempt(host, Call.health(), config.dialTimeoutUs(), () -> true, end).start();
+                upstream.attempt(host, Call.health(), config.dialTimeoutUs(), () -> true, end)
+                        .start();
             }
         });
     }
--- a/src/main/java/mulleinfront/proxy/Config.java
+++ b/src/main/java/mulleinfront/proxy/Config.java
@@ -24,8 +24,16 @@
  * @param dialTimeoutUs time within which a connection must have come up
  * @param known the list of hosts as last held, perhaps old; null if there is none
  */
-public record Config(InetSocketAddress listen, InetSocketAddress discovery, long seed, Settings settings,
-        List<String> zones, List<String> kinds, List<String> tenants, int sockets, long dialTimeoutUs,
+public record Config(
+        InetSocketAddress listen,
+        InetSocketAddress discovery,
+        long seed,
+        Settings settings,
+        List<String> zones,
+        List<String> kinds,
+        List<String> tenants,
+        int sockets,
+        long dialTimeoutUs,
         Listing known) {
 
     /** What the program is sized for; a lower limit is kept, a higher one not used. */
@@ -77,9 +85,17 @@
         need(discovery, "discovery");
         need(settings, "settings");
         need(seed, "seed");
-        return new Config(listen, discovery, seed(seed), settings.toSettings(),
-                settings.names("azs"), settings.names("kinds"), settings.tenants(), sockets,
-                settings.dialTimeoutUs(), known);
+        return new Config(
+                listen,
+                discovery,
+                seed(seed),
+                settings.toSettings(),
+                settings.names("azs"),
+                settings.names("kinds"),
+                settings.tenants(),
+                sockets,
+                settings.dialTimeoutUs(),
+                known);
     }
 
     private static int sockets(JsonParser in) throws IOException {
--- a/src/main/java/mulleinfront/proxy/Discovery.java
+++ b/src/main/java/mulleinfront/proxy/Discovery.java
@@ -45,6 +45,7 @@
     private static final long SILENCE_MS = 4_500;
     /** News counts as told 4 s after a move: within that time a silent new address is asked again. */
     private static final long MOVED_SILENCE_MS = 1_800;
+
     private static final int CONNECT_MS = 1_000;
     private static final int LONGEST_LIST = 4 * 1024 * 1024;
 
@@ -62,6 +63,7 @@
     private final Map<String, Upstream.Host> hosts = new HashMap<>();
     /** Numbers by name. A name that the settings lack gets a number of its own: zones must not merge. */
     private final Map<String, Integer> zones = new HashMap<>();
+
     private final Map<String, Integer> kinds = new HashMap<>();
     private long version = -1;
     private Watch watch;
@@ -73,7 +75,8 @@
         this.listener = listener;
         config.zones().forEach(name -> zones.put(name, zones.size()));
         config.kinds().forEach(name -> kinds.put(name, kinds.size()));
-        this.bootstrap = new Bootstrap().group(loop)
+        this.bootstrap = new Bootstrap()
+                .group(loop)
                 .option(ChannelOption.ALLOCATOR, Upstream.BUFFERS)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS);
     }
@@ -117,7 +120,11 @@
             return;
         }
         watch = asked;
-        bootstrap.clone().channelFactory(() -> asked.channel).handler(asked.pipeline()).connect(address)
+        bootstrap
+                .clone()
+                .channelFactory(() -> asked.channel)
+                .handler(asked.pipeline())
+                .connect(address)
                 .addListener(f -> {
                     if (!f.isSuccess()) {
                         asked.fail(f.cause());
@@ -146,8 +153,14 @@
         Map<String, Upstream.Host> left = source == Source.DELTA ? new HashMap<>() : new HashMap<>(hosts);
         for (Listing.Entry e : listing.entries()) {
             left.remove(e.id());
-            endpoints.add(new Endpoint(e.id(), number(zones, e.zone()), e.cell(), number(kinds, e.kind()),
-                    e.availability(), e.weight(), e.startedMs() * 1000));
+            endpoints.add(new Endpoint(
+                    e.id(),
+                    number(zones, e.zone()),
+                    e.cell(),
+                    number(kinds, e.kind()),
+                    e.availability(),
+                    e.weight(),
+                    e.startedMs() * 1000));
             if (e.availability() == Availability.GONE) {
                 drop(hosts.get(e.id()));
                 continue;
@@ -190,8 +203,13 @@
             return new ChannelInitializer<>() {
                 @Override
                 protected void initChannel(SocketChannel ch) {
-                    ch.pipeline().addLast(new HttpResponseDecoder(), new Body(), new Lists(),
-                            new ReadTimeoutHandler(patienceMs, TimeUnit.MILLISECONDS), Watch.this);
+                    ch.pipeline()
+                            .addLast(
+                                    new HttpResponseDecoder(),
+                                    new Body(),
+                                    new Lists(),
+                                    new ReadTimeoutHandler(patienceMs, TimeUnit.MILLISECONDS),
+                                    Watch.this);
                 }
             };
         }
@@ -199,8 +217,9 @@
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             String after = version >= 0 ? "&after=" + version : "";
-            ctx.writeAndFlush(Unpooled.copiedBuffer("GET /api/targets?watch=1" + after + " HTTP/1.1\r\n"
-                    + "Host: discovery\r\n\r\n", StandardCharsets.US_ASCII));
+            ctx.writeAndFlush(Unpooled.copiedBuffer(
+                    "GET /api/targets?watch=1" + after + " HTTP/1.1\r\n" + "Host: discovery\r\n\r\n",
+                    StandardCharsets.US_ASCII));
         }
 
         @Override
@@ -209,8 +228,11 @@
                 Listing listing = Listing.parse(ByteBufUtil.getBytes(list));
                 if (!heard) {
                     heard = true;
-                    ctx.pipeline().replace(ReadTimeoutHandler.class, null,
-                            new ReadTimeoutHandler(SILENCE_MS, TimeUnit.MILLISECONDS));
+                    ctx.pipeline()
+                            .replace(
+                                    ReadTimeoutHandler.class,
+                                    null,
+                                    new ReadTimeoutHandler(SILENCE_MS, TimeUnit.MILLISECONDS));
                 }
                 take(listing, listing.full() ? Source.FULL : Source.DELTA);
             }
@@ -268,7 +290,8 @@
 
         @Override
         protected void decode(ChannelHandlerContext ctx, HttpObject in, List<Object> out) throws IOException {
-            if (in.decoderResult().isFailure() || in instanceof HttpResponse r && r.status().code() != 200) {
+            if (in.decoderResult().isFailure()
+                    || in instanceof HttpResponse r && r.status().code() != 200) {
                 throw new IOException("discovery refused the watch");
             }
             if (in instanceof HttpContent content && content.content().isReadable()) {
--- a/src/main/java/mulleinfront/proxy/Framing.java
+++ b/src/main/java/mulleinfront/proxy/Framing.java
@@ -23,12 +23,16 @@
     static final int MOST_HEAD = 8 * 1024;
 
     private static HttpDecoderConfig strict(int mostHead) {
-        return new HttpDecoderConfig().setStrictLineParsing(true).setAllowDuplicateContentLengths(false)
-                .setMaxInitialLineLength(mostHead / 2).setMaxHeaderSize(mostHead);
+        return new HttpDecoderConfig()
+                .setStrictLineParsing(true)
+                .setAllowDuplicateContentLengths(false)
+                .setMaxInitialLineLength(mostHead / 2)
+                .setMaxHeaderSize(mostHead);
     }
 
     private Framing() {}
 
+    /** Decodes requests of clients; what no decoder may guess at ends the connection. */
     static class RequestDecoder extends HttpRequestDecoder {
         RequestDecoder(int mostHead) {
             super(strict(mostHead));
@@ -46,6 +50,7 @@
         }
     }
 
+    /** Decodes answers of servers; what no decoder may guess at ends the connection. */
     static class ResponseDecoder extends HttpResponseDecoder {
         ResponseDecoder() {
             super(strict(MOST_HEAD));
@@ -84,7 +89,8 @@
             return false;
         }
         for (Map.Entry<String, String> h : headers) {
-            if (h.getKey().isEmpty() || HttpHeaderValidationUtil.validateToken(h.getKey()) >= 0
+            if (h.getKey().isEmpty()
+                    || HttpHeaderValidationUtil.validateToken(h.getKey()) >= 0
                     || HttpHeaderValidationUtil.validateValidHeaderValue(h.getValue()) >= 0) {
                 return false;
             }
@@ -92,7 +98,9 @@
         List<String> encodings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
         List<String> lengths = headers.getAll(HttpHeaderNames.CONTENT_LENGTH);
         if (!encodings.isEmpty()) {
-            return encodings.size() == 1 && lengths.isEmpty() && version.equals(HttpVersion.HTTP_1_1)
+            return encodings.size() == 1
+                    && lengths.isEmpty()
+                    && version.equals(HttpVersion.HTTP_1_1)
                     && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(encodings.get(0));
         }
         return lengths.isEmpty() || lengths.size() == 1 && number(lengths.get(0)) >= 0;
@@ -100,8 +108,7 @@
 
     /** Whether a sound head says how long its body is. */
     static boolean statesLength(HttpHeaders headers) {
-        return headers.contains(HttpHeaderNames.CONTENT_LENGTH)
-                || headers.contains(HttpHeaderNames.TRANSFER_ENCODING);
+        return headers.contains(HttpHeaderNames.CONTENT_LENGTH) || headers.contains(HttpHeaderNames.TRANSFER_ENCODING);
     }
 
     /** Whether a sound head states a body larger than any may be. */
@@ -111,7 +118,9 @@
 
     /** A number of digits alone; -1 if it is none: no sign, no fraction, no list, nothing that overflows. */
     public static long number(String text) {
-        if (text == null || text.isEmpty() || text.length() > 18
+        if (text == null
+                || text.isEmpty()
+                || text.length() > 18
                 || !text.chars().allMatch(c -> c >= '0' && c <= '9')) {
             return -1;
         }
--- a/src/main/java/mulleinfront/proxy/Frontend.java
+++ b/src/main/java/mulleinfront/proxy/Frontend.java
@@ -63,13 +63,14 @@
      * @param quietMs how long a connection may be without a request
      * @param readMs how long a request may take to come in whole
      */
-    public record Terms(int mostClients, int mostHead, int mostBody, long quietMs, long readMs) { }
+    public record Terms(int mostClients, int mostHead, int mostBody, long quietMs, long readMs) {}
 
     /**
      * What a client may send ahead of its answers before reading stops: requests, and bytes of bodies. All
      * clients together may send {@code MOST_HELD} bytes ahead; above that only what is not yet whole is read.
      */
     private static final int MOST_AHEAD = 16;
+
     private static final int MOST_AHEAD_BYTES = Framing.MOST_BODY;
     private static final int MOST_HELD = 8 * 1024 * 1024;
     /**
@@ -78,9 +79,11 @@
      * last of them only.
      */
     private static final int READ_BYTES = 8 * 1024;
+
     private static final int MOST_READS = 16;
     /** While reading has stopped, one read now and then tells of a client that left. */
     private static final long PEEK_MS = 200;
+
     private static final long SWEEP_MS = 100;
     /**
      * Clients know of no other place to go: for as long as there is time they are served where they are.
@@ -88,6 +91,7 @@
      * SIGKILL on, and when each client has had time for one more, nothing more is taken.
      */
     private static final long FEWEST_DRAIN_MS = 400;
+
     private static final long LEAVE_MS = 900;
     private static final long LAST_CALL_MS = 300;
 
@@ -99,6 +103,7 @@
     private final LinkedHashSet<Client> quiet = new LinkedHashSet<>();
     /** Connections in the middle of a request, the longest first. */
     private final LinkedHashSet<Client> reading = new LinkedHashSet<>();
+
     private long held;
     private Channel server;
     private boolean draining;
@@ -119,12 +124,16 @@
     }
 
     public ChannelFuture bind(InetSocketAddress address) {
-        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        ChannelFuture bound = new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.ALLOCATOR, Upstream.BUFFERS)
                 .option(ChannelOption.SO_BACKLOG, 1024)
                 .childOption(ChannelOption.ALLOCATOR, Upstream.BUFFERS)
-                .childOption(ChannelOption.RECVBUF_ALLOCATOR,
-                        new FixedRecvByteBufAllocator(READ_BYTES).respectMaybeMoreData(false)
+                .childOption(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new FixedRecvByteBufAllocator(READ_BYTES)
+                                .respectMaybeMoreData(false)
                                 .maxMessagesPerRead(MOST_READS))
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
@@ -132,11 +141,15 @@
                     protected void initChannel(SocketChannel ch) {
                         terms = desk.terms();
                         Client client = new Client(ch);
-                        ch.pipeline().addLast(new Framing.RequestDecoder(terms.mostHead()),
-                                new HttpResponseEncoder(), client);
+                        ch.pipeline()
+                                .addLast(
+                                        new Framing.RequestDecoder(terms.mostHead()),
+                                        new HttpResponseEncoder(),
+                                        client);
                         admit(ch, client);
                     }
-                }).bind(address);
+                })
+                .bind(address);
         server = bound.channel();
         return bound;
     }
@@ -160,11 +173,11 @@
     private void sweep() {
         long now = System.nanoTime();
         long quietFor = TimeUnit.MILLISECONDS.toNanos(terms.quietMs());
-        for (Client c; !quiet.isEmpty() && now - (c = quiet.iterator().next()).quietAt > quietFor;) {
+        for (Client c; !quiet.isEmpty() && now - (c = quiet.iterator().next()).quietAt > quietFor; ) {
             c.tooLong();
         }
         long readFor = TimeUnit.MILLISECONDS.toNanos(terms.readMs());
-        for (Client c; !reading.isEmpty() && now - (c = reading.iterator().next()).readAt > readFor;) {
+        for (Client c; !reading.isEmpty() && now - (c = reading.iterator().next()).readAt > readFor; ) {
             reading.remove(c);
             if (c.busy) {
                 // Its next request has time anew: what is open must not end with it.
@@ -191,14 +204,17 @@
         draining = true;
         long leaveMs = Math.max(FEWEST_DRAIN_MS, leftMs - LEAVE_MS);
         loop.schedule(() -> leaving = true, leaveMs, TimeUnit.MILLISECONDS);
-        loop.schedule(() -> {
-            deaf = true;
-            if (server != null) {
-                server.close();
-            }
-            clients.forEach(c -> c.pipeline().get(Client.class).lastCall());
-            clients.newCloseFuture().addListener((Future<Void> f) -> done.run());
-        }, leaveMs + LAST_CALL_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(
+                () -> {
+                    deaf = true;
+                    if (server != null) {
+                        server.close();
+                    }
+                    clients.forEach(c -> c.pipeline().get(Client.class).lastCall());
+                    clients.newCloseFuture().addListener((Future<Void> f) -> done.run());
+                },
+                leaveMs + LAST_CALL_MS,
+                TimeUnit.MILLISECONDS);
     }
 
     /** Whether its end has been told. */
@@ -223,10 +239,12 @@
         private int aheadBytes;
         /** The request being read, its body so far, and whether the client waits to be told to send it. */
         private HttpRequest head;
+
         private ByteBuf body;
         private boolean expects;
         /** Set by what can't be read: nothing after it is. */
         private boolean lost;
+
         private boolean busy;
         private boolean pumping;
         private boolean peeking;
@@ -253,10 +271,12 @@
             }
             if (in.decoderResult().isFailure()) {
                 Throwable why = in.decoderResult().cause();
-                unreadable(why instanceof TooLongHttpLineException ? HttpResponseStatus.REQUEST_URI_TOO_LONG
-                        : why instanceof TooLongHttpHeaderException
-                        ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-                        : HttpResponseStatus.BAD_REQUEST);
+                unreadable(
+                        why instanceof TooLongHttpLineException
+                                ? HttpResponseStatus.REQUEST_URI_TOO_LONG
+                                : why instanceof TooLongHttpHeaderException
+                                        ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+                                        : HttpResponseStatus.BAD_REQUEST);
                 return;
             }
             if (in instanceof HttpRequest request) {
@@ -292,8 +312,8 @@
         private void goAhead() {
             if (expects && head != null && !busy && ahead.isEmpty()) {
                 expects = false;
-                channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                        HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+                channel.writeAndFlush(new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
             }
         }
 
@@ -344,8 +364,9 @@
 
         /** Reading stops while enough waits. Only a read shows that a client left: one is made at times. */
         private void readOn() {
-            boolean enough = (busy || !ahead.isEmpty()) && !lost && (ahead.size() >= MOST_AHEAD
-                    || aheadBytes >= MOST_AHEAD_BYTES || held >= MOST_HELD);
+            boolean enough = (busy || !ahead.isEmpty())
+                    && !lost
+                    && (ahead.size() >= MOST_AHEAD || aheadBytes >= MOST_AHEAD_BYTES || held >= MOST_HELD);
             channel.config().setAutoRead(!enough);
             if (enough && !peeking) {
                 peeking = true;
@@ -405,15 +426,19 @@
         /** The final answer of the request at hand; the next has its turn when this one is written. */
         public void answer(HttpResponseStatus status, Upstream.Answer what, long retryAfterUs) {
             gone = null;
-            DefaultFullHttpResponse out = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
-                    Unpooled.wrappedBuffer(what.body()));
+            DefaultFullHttpResponse out =
+                    new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(what.body()));
             out.headers().set(HttpHeaderNames.CONTENT_LENGTH, what.body().length);
             if (what.contentType() != null) {
                 out.headers().set(HttpHeaderNames.CONTENT_TYPE, what.contentType());
             }
             if (retryAfterUs > 0) {
-                out.headers().set(HttpHeaderNames.RETRY_AFTER,
-                        BigDecimal.valueOf(retryAfterUs, 6).stripTrailingZeros().toPlainString());
+                out.headers()
+                        .set(
+                                HttpHeaderNames.RETRY_AFTER,
+                                BigDecimal.valueOf(retryAfterUs, 6)
+                                        .stripTrailingZeros()
+                                        .toPlainString());
             }
             if (what.headers() != null) {
                 out.headers().add(what.headers());
--- a/src/main/java/mulleinfront/proxy/Listing.java
+++ b/src/main/java/mulleinfront/proxy/Listing.java
@@ -16,8 +16,15 @@
     static final JsonFactory JSON = new JsonFactory();
 
     /** One host, its zone and kind by name. */
-    record Entry(String id, InetSocketAddress address, String zone, String kind, int cell,
-            Availability availability, double weight, long startedMs) {}
+    record Entry(
+            String id,
+            InetSocketAddress address,
+            String zone,
+            String kind,
+            int cell,
+            Availability availability,
+            double weight,
+            long startedMs) {}
 
     /** Reads a line of a watch; anything but one well-formed list is an {@link IOException}. */
     static Listing parse(byte[] line) throws IOException {
--- a/src/main/java/mulleinfront/proxy/Upstream.java
+++ b/src/main/java/mulleinfront/proxy/Upstream.java
@@ -41,6 +41,7 @@
 public final class Upstream {
     /** Part of the settings' idle time after which we close first: a host closes at the whole of it. */
     private static final double IDLE_PART = 0.75;
+
     private static final long SWEEP_MS = 100;
     /** How long a connection rests after an answer: what follows that unasked must not meet a new request. */
     private static final long REST_NANOS = 3_000_000;
@@ -54,6 +55,7 @@
      * slowly more again while it does no harm.
      */
     private static final long STALE_NANOS = 20_000_000;
+
     private static final long LEAST_IDLE_NANOS = 100_000_000;
     private static final double IDLE_CUT = 0.8;
     private static final double IDLE_GROW = 1.1;
@@ -66,7 +68,8 @@
         @Override
         public Outcome outcome(HttpResponse head) {
             int status = head.status().code();
-            boolean notRun = (status == 503 || status == 504) && "1".equals(head.headers().get("X-Not-Run"));
+            boolean notRun = (status == 503 || status == 504)
+                    && "1".equals(head.headers().get("X-Not-Run"));
             return status == 200 ? Outcome.OK : notRun ? Outcome.QUEUE_FULL : Outcome.FAILED;
         }
     };
@@ -78,6 +81,7 @@
     private final int mostConnections;
     /** Idle connections to all hosts, the longest idle first. */
     private final LinkedHashSet<Connection> idle = new LinkedHashSet<>();
+
     private int connections;
 
     public Upstream(EventLoop loop, long dialTimeoutUs, long connIdleUs, int mostConnections) {
@@ -85,7 +89,8 @@
         this.mostConnections = mostConnections;
         this.mostIdleNanos = (long) (connIdleUs * 1000 * IDLE_PART);
         this.idleNanos = mostIdleNanos;
-        this.bootstrap = new Bootstrap().group(loop)
+        this.bootstrap = new Bootstrap()
+                .group(loop)
                 .option(ChannelOption.ALLOCATOR, BUFFERS)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, dialTimeoutUs / 1000));
@@ -93,12 +98,16 @@
 
     /** Closes what has been idle for long, from now on. */
     public void begin() {
-        loop.scheduleWithFixedDelay(() -> {
-            long before = System.nanoTime() - idleNanos;
-            for (Connection c; !idle.isEmpty() && (c = idle.iterator().next()).idleAt - before < 0;) {
-                c.close();
-            }
-        }, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(
+                () -> {
+                    long before = System.nanoTime() - idleNanos;
+                    for (Connection c; !idle.isEmpty() && (c = idle.iterator().next()).idleAt - before < 0; ) {
+                        c.close();
+                    }
+                },
+                SWEEP_MS,
+                SWEEP_MS,
+                TimeUnit.MILLISECONDS);
     }
 
     /** A host as last listed; all fields are discovery's to set. */
@@ -108,6 +117,7 @@
         boolean ready;
         /** Connections it may have of us at once. */
         private int most = Integer.MAX_VALUE;
+
         private int made;
         private final ArrayDeque<Connection> idle = new ArrayDeque<>();
 
@@ -182,7 +192,7 @@
 
     /** Closes the idle connections to a host; those in use close after their answer. */
     public void hangUp(Host host) {
-        for (Connection c; (c = host.idle.peek()) != null;) {
+        for (Connection c; (c = host.idle.peek()) != null; ) {
             c.close();
         }
     }
@@ -211,6 +221,7 @@
         }
     }
 
+    /** One request written to one server, up to its one end. */
     public final class Attempt {
         private final Host host;
         private final Call call;
@@ -263,8 +274,11 @@
                 finish(Outcome.CONNECT_ERROR, null);
                 return;
             }
-            ChannelFuture up = bootstrap.clone().channelFactory(() -> made.channel)
-                    .handler(made.pipeline()).connect(host.address);
+            ChannelFuture up = bootstrap
+                    .clone()
+                    .channelFactory(() -> made.channel)
+                    .handler(made.pipeline())
+                    .connect(host.address);
             fresh++;
             connections++;
             host.made++;
@@ -348,7 +362,8 @@
 
         /** Whether something is there that would not have this connection: then the host is not away. */
         private static boolean resetAtOnce(Throwable cause) {
-            return cause instanceof SocketException && !(cause instanceof ConnectException)
+            return cause instanceof SocketException
+                    && !(cause instanceof ConnectException)
                     && !(cause instanceof NoRouteToHostException);
         }
 
@@ -400,6 +415,7 @@
         private Answer answer;
         /** Whether the answer at hand goes on in pieces, or belongs to an earlier request. */
         private boolean streaming;
+
         private boolean strange;
 
         /** What comes while nothing is asked belongs to no request, read to its end or not. */
@@ -519,7 +535,9 @@
             if (outcome == Outcome.OK || current.reading.whole()) {
                 byte[] bytes = new byte[body.readableBytes()];
                 body.readBytes(bytes);
-                answer = new Answer(bytes, head.headers().get(HttpHeaderNames.CONTENT_TYPE),
+                answer = new Answer(
+                        bytes,
+                        head.headers().get(HttpHeaderNames.CONTENT_TYPE),
                         current.reading.whole() ? head.headers() : null);
             }
         }
--- a/src/main/java/mulleinfront/proxy/Rehearsal.java
+++ b/src/main/java/mulleinfront/proxy/WarmUp.java
@@ -29,14 +29,15 @@
  * on to itself once more, where its id is already open and it is refused, and all the way back. So nothing
  * listens or is spoken to but the address where clients will connect.
  */
-final class Rehearsal {
+final class WarmUp {
     /** The JVM compiles what has been called 200 times, and what that calls a little later. */
     private static final int ROUNDS = 250;
+
     private static final int HOSTS = 12;
     private static final long MOST_SECONDS = 3;
     static final String SELF = "self";
 
-    private Rehearsal() {}
+    private WarmUp() {}
 
     /** Requests and outcomes through a module. */
     static void decide(Balancer.Settings settings) {
@@ -56,9 +57,17 @@
         for (int i = 0; i < ROUNDS; i++) {
             int type = i % settings.classes().size();
             now += 4_000;
-            module.onRequest(now, new Request("id" + i, type, "key" + i % 50,
-                    settings.classes().get(type).deadlineUs(), 0, 0, false));
-            for (AttemptEnd end; ends.size() > 4 && (end = ends.poll()) != null;) {
+            module.onRequest(
+                    now,
+                    new Request(
+                            "id" + i,
+                            type,
+                            "key" + i % 50,
+                            settings.classes().get(type).deadlineUs(),
+                            0,
+                            0,
+                            false));
+            for (AttemptEnd end; ends.size() > 4 && (end = ends.poll()) != null; ) {
                 module.onAttemptEnded(now, end);
             }
             module.onTimer(now);
@@ -67,18 +76,21 @@
 
     /** A list whose one host is the client proxy itself. */
     static Listing self(InetAddress address, int port) {
-        return new Listing(0, true, List.of(new Listing.Entry(SELF, new InetSocketAddress(address, port),
-                "", "", 0, Availability.READY, 1, 0)));
+        return new Listing(
+                0,
+                true,
+                List.of(new Listing.Entry(
+                        SELF, new InetSocketAddress(address, port), "", "", 0, Availability.READY, 1, 0)));
     }
 
     /** Sends each request on to itself, and fails it when that comes back refused. */
     static Balancer module(Balancer.Actions actions) {
         return new Balancer() {
             @Override
-            public void onEndpoints(long now, Source source, List<Endpoint> endpoints) { }
+            public void onEndpoints(long now, Source source, List<Endpoint> endpoints) {}
 
             @Override
-            public void onDiscoveryFailed(long now) { }
+            public void onDiscoveryFailed(long now) {}
 
             @Override
             public void onRequest(long now, Request request) {
@@ -86,10 +98,10 @@
             }
 
             @Override
-            public void onRequestGone(long now, String requestId) { }
+            public void onRequestGone(long now, String requestId) {}
 
             @Override
-            public void onStreamStarted(long now, String requestId, int attempt) { }
+            public void onStreamStarted(long now, String requestId, int attempt) {}
 
             @Override
             public void onAttemptEnded(long now, AttemptEnd end) {
@@ -97,10 +109,10 @@
             }
 
             @Override
-            public void onProbeEnded(long now, String endpointId, Outcome outcome, long lagUs) { }
+            public void onProbeEnded(long now, String endpointId, Outcome outcome, long lagUs) {}
 
             @Override
-            public void onTimer(long now) { }
+            public void onTimer(long now) {}
         };
     }
 
@@ -120,20 +132,22 @@
         }
 
         Rounds next() {
-            HttpHeaders headers = new DefaultHttpHeaders().set("Host", "origin.svc")
-                    .set("X-Class", type.name()).set("X-Request-Id", "rehearsal" + left.getCount())
+            HttpHeaders headers = new DefaultHttpHeaders()
+                    .set("Host", "origin.svc")
+                    .set("X-Class", type.name())
+                    .set("X-Request-Id", "warmup" + left.getCount())
                     .set("X-Key", "key");
             if (type.effect() == Effect.DEDUP) {
                 headers.set("Idempotency-Key", "key");
             }
-            Call call = new Call(type.effect() == Effect.RETRYABLE ? "GET" : "POST", "/api", headers,
-                    new byte[0]);
+            Call call = new Call(type.effect() == Effect.RETRYABLE ? "GET" : "POST", "/api", headers, new byte[0]);
             upstream.attempt(self, call, type.deadlineUs(), () -> true, (outcome, answer) -> {
-                left.countDown();
-                if (left.getCount() > 0) {
-                    loop.execute(this::next);
-                }
-            }).start();
+                        left.countDown();
+                        if (left.getCount() > 0) {
+                            loop.execute(this::next);
+                        }
+                    })
+                    .start();
             return this;
         }
 
@@ -145,24 +159,24 @@
     /** Decisions that go nowhere. */
     private static class Silent implements Balancer.Actions {
         @Override
-        public void send(String requestId, String endpointId, long timeoutUs) { }
+        public void send(String requestId, String endpointId, long timeoutUs) {}
 
         @Override
-        public void refuse(String requestId, long retryAfterUs) { }
+        public void refuse(String requestId, long retryAfterUs) {}
 
         @Override
-        public void fail(String requestId) { }
+        public void fail(String requestId) {}
 
         @Override
-        public void cancel(String requestId, int attempt) { }
+        public void cancel(String requestId, int attempt) {}
 
         @Override
-        public void probe(String endpointId) { }
+        public void probe(String endpointId) {}
 
         @Override
-        public void subscribe() { }
+        public void subscribe() {}
 
         @Override
-        public void wakeAt(long atUs) { }
+        public void wakeAt(long atUs) {}
     }
 }
--- a/src/main/java/quartzspan/clerk/Main.java
+++ b/src/main/java/quartzspan/cli/Main.java
@@ -1,5 +1,7 @@
-package quartzspan.clerk;
+package quartzspan.cli;
 
+import jakarta.json.JsonObject;
+import jakarta.json.JsonValue;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.URI;
@@ -9,35 +11,36 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
-import jakarta.json.JsonObject;
-import jakarta.json.JsonValue;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
-import quartzspan.manifest.Manifest;
-import quartzspan.papers.Refusal;
+import quartzspan.common.FleetException;
+import quartzspan.configuration.Configuration;
 
-/** The operators' command line: {@code clerk VERB [FILE] --core IP:PORT}. */
+/** The operators' command line: {@code quartzspanctl VERB [FILE] --core IP:PORT}. */
 public final class Main {
-    static final String USAGE = String.join("\n",
-            "usage: clerk VERB [FILE] [--core IP:PORT] [--base VERSION] [--json]",
+    static final String USAGE = String.join(
+            "\n",
+            "usage: quartzspanctl VERB [FILE] [--core IP:PORT] [--base VERSION] [--json]",
             "  status        what the core machine at --core is and knows: epoch, view, duty, servers, proxies",
             "  get           the configuration in force, as it was sent",
             "  check FILE    whether a configuration is valid; asks nobody (the core uses the same code)",
             "  apply FILE    replaces the configuration; --base: the version it builds on (default: the one in force)",
             "examples:",
-            "  clerk check new.json && clerk apply new.json --core 127.0.0.1:8169 --base 7",
-            "  clerk status --core 127.0.0.1:8169 --json",
+            "  quartzspanctl check new.json && quartzspanctl apply new.json --core 127.0.0.1:8169 --base 7",
+            "  quartzspanctl status --core 127.0.0.1:8169 --json",
             "exit status: 0 done, 2 the call's words, 6 invalid, 7 built on another version, 8 nobody decides or answers");
 
     private static final int MISUSED = 2;
     private static final int UNREACHED = 8;
 
     private final PrintStream out;
-    private final HttpClient http = HttpClient.newBuilder().followRedirects(HttpClient.Redirect.NEVER)
-            .connectTimeout(Duration.ofSeconds(2)).build();
+    private final HttpClient http = HttpClient.newBuilder()
+            .followRedirects(HttpClient.Redirect.NEVER)
+            .connectTimeout(Duration.ofSeconds(2))
+            .build();
 
     Main(PrintStream out) {
         this.out = out;
@@ -49,13 +52,15 @@
 
     /** Does what the words say; the exit status. */
     int run(String... args) {
-        Options options = new Options().addOption(Option.builder().longOpt("core").hasArg().get())
+        Options options = new Options()
+                .addOption(Option.builder().longOpt("core").hasArg().get())
                 .addOption(Option.builder().longOpt("base").hasArg().get())
                 .addOption(Option.builder().longOpt("json").get());
         try {
             CommandLine line = new DefaultParser().parse(options, args);
             String verb = line.getArgList().isEmpty() ? "" : line.getArgList().get(0);
-            String file = line.getArgList().size() < 2 ? null : line.getArgList().get(1);
+            String file =
+                    line.getArgList().size() < 2 ? null : line.getArgList().get(1);
             return switch (verb) {
                 case "status" -> status(line);
                 case "get" -> said(call(line, "GET", "Configuration.Describe", null, null));
@@ -65,7 +70,7 @@
             };
         } catch (ParseException e) {
             return misused(e.getMessage());
-        } catch (Refusal why) {
+        } catch (FleetException why) {
             out.println(why);
             return why.code().exit();
         } catch (IOException | IllegalArgumentException e) {
@@ -85,24 +90,27 @@
 
     private byte[] read(String file) throws IOException {
         if (file == null) {
-            throw new Refusal(Refusal.Code.CONFIG_UNREADABLE, "no file is named", "name the configuration's file");
+            throw new FleetException(
+                    FleetException.Code.CONFIG_UNREADABLE, "no file is named", "name the configuration's file");
         }
         return Files.readAllBytes(Path.of(file));
     }
 
     private int check(String file) throws IOException {
-        Manifest m = Manifest.read(read(file));
-        out.println("valid: version " + m.version() + ", " + m.routes().size() + " routes, " + m.services().size()
-                + " services");
+        Configuration m = Configuration.read(read(file));
+        out.println("valid: version " + m.version() + ", " + m.routes().size() + " routes, "
+                + m.services().size() + " services");
         return 0;
     }
 
     private int apply(CommandLine line, String file) throws IOException, InterruptedException {
         byte[] body = read(file);
-        Manifest m = Manifest.read(body);
+        Configuration m = Configuration.read(body);
         String base = line.getOptionValue("base");
         if (base == null) {
-            base = String.valueOf(Manifest.read(call(line, "GET", "Configuration.Describe", null, null).body()).version());
+            base = String.valueOf(Configuration.read(call(line, "GET", "Configuration.Describe", null, null)
+                            .body())
+                    .version());
         }
         int status = said(call(line, "POST", "Configuration.Replace", base, body));
         if (status == 0) {
@@ -116,7 +124,7 @@
         if (line.hasOption("json") || answer.statusCode() != 200) {
             return said(answer);
         }
-        JsonObject o = Manifest.json(answer.body());
+        JsonObject o = Configuration.json(answer.body());
         for (String name : o.keySet()) {
             if (o.get(name) instanceof jakarta.json.JsonArray list) {
                 out.println(name + ":");
@@ -136,8 +144,8 @@
         out.println(new String(answer.body(), java.nio.charset.StandardCharsets.UTF_8));
         return switch (answer.statusCode()) {
             case 200 -> 0;
-            case 400 -> Refusal.Code.CONFIG_INVALID.exit();
-            case 412 -> Refusal.Code.CONFIG_STALE.exit();
+            case 400 -> FleetException.Code.CONFIG_INVALID.exit();
+            case 412 -> FleetException.Code.CONFIG_STALE.exit();
             default -> UNREACHED;
         };
     }
@@ -148,8 +156,13 @@
         URI to = URI.create("http://" + line.getOptionValue("core", "127.0.0.1:8169") + "/quartzspan/" + name);
         HttpResponse<byte[]> answer = null;
         for (int i = 0; i < 3; i++) {
-            HttpRequest.Builder request = HttpRequest.newBuilder(to).timeout(Duration.ofSeconds(5)).method(method,
-                    body == null ? HttpRequest.BodyPublishers.noBody() : HttpRequest.BodyPublishers.ofByteArray(body));
+            HttpRequest.Builder request = HttpRequest.newBuilder(to)
+                    .timeout(Duration.ofSeconds(5))
+                    .method(
+                            method,
+                            body == null
+                                    ? HttpRequest.BodyPublishers.noBody()
+                                    : HttpRequest.BodyPublishers.ofByteArray(body));
             if (base != null) {
                 request.header("X-Base-Version", base);
             }
--- a/src/main/java/quartzspan/papers/Refusal.java
+++ b/src/main/java/quartzspan/common/FleetException.java
@@ -1,14 +1,21 @@
-package quartzspan.papers;
+package quartzspan.common;
 
 /** What this system won't do, as a kind that programs read, a reason, and what would mend it. */
-public final class Refusal extends RuntimeException {
+public final class FleetException extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
     /** The kinds; {@code exit} is the exit status of a program that ends by one, {@code status} its HTTP status. */
     public enum Code {
-        SETTINGS_MISSING(3, 500), SETTINGS_INVALID(3, 500), ADDRESS_TAKEN(4, 500), STORE_DAMAGED(5, 500),
-        STORE_REFUSES(5, 503), CONFIG_UNREADABLE(6, 400), CONFIG_INVALID(6, 400), CONFIG_STALE(7, 412),
-        NOT_PRIMARY(8, 503), MESSAGE_INVALID(9, 400);
+        SETTINGS_MISSING(3, 500),
+        SETTINGS_INVALID(3, 500),
+        ADDRESS_TAKEN(4, 500),
+        STORE_DAMAGED(5, 500),
+        STORE_REFUSES(5, 503),
+        CONFIG_UNREADABLE(6, 400),
+        CONFIG_INVALID(6, 400),
+        CONFIG_STALE(7, 412),
+        NOT_PRIMARY(8, 503),
+        MESSAGE_INVALID(9, 400);
 
         private final int exit;
         private final int status;
@@ -30,19 +37,19 @@
     private final Code code;
     private final String remedy;
 
-    public Refusal(Code code, String reason, String remedy) {
+    public FleetException(Code code, String reason, String remedy) {
         super(reason);
         this.code = code;
         this.remedy = remedy;
     }
 
     /** The refusal among a failure and its causes; null if there is none. */
-    public static Refusal in(Throwable failure) {
+    public static FleetException in(Throwable failure) {
         Throwable at = failure;
-        while (at != null && !(at instanceof Refusal)) {
+        while (at != null && !(at instanceof FleetException)) {
             at = at.getCause();
         }
-        return (Refusal) at;
+        return (FleetException) at;
     }
 
     public Code code() {
--- a/src/main/java/quartzspan/papers/JsonLines.java
+++ b/src/main/java/quartzspan/common/JsonLines.java
@@ -1,4 +1,4 @@
-package quartzspan.papers;
+package quartzspan.common;
 
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.LoggerContext;
@@ -28,6 +28,7 @@
         return ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY;
     }
 
+    /** Writes one log event as one JSON object on a line. */
     static final class Encoder extends EncoderBase<ILoggingEvent> {
         @Override
         public byte[] headerBytes() {
@@ -37,7 +38,10 @@
         @Override
         public byte[] encode(ILoggingEvent event) {
             StringBuilder line = new StringBuilder(160);
-            line.append("{\"at_ms\":").append(event.getTimeStamp()).append(",\"level\":\"").append(event.getLevel())
+            line.append("{\"at_ms\":")
+                    .append(event.getTimeStamp())
+                    .append(",\"level\":\"")
+                    .append(event.getLevel())
                     .append("\",\"by\":");
             quote(line, event.getLoggerName());
             line.append(",\"says\":");
@@ -45,9 +49,12 @@
             IThrowableProxy why = event.getThrowableProxy();
             if (why != null) {
                 line.append(",\"cause\":");
-                quote(line, why.getClassName() + ": " + why.getMessage()
-                        + (why.getStackTraceElementProxyArray().length == 0 ? ""
-                        : " " + why.getStackTraceElementProxyArray()[0]));
+                quote(
+                        line,
+                        why.getClassName() + ": " + why.getMessage()
+                                + (why.getStackTraceElementProxyArray().length == 0
+                                        ? ""
+                                        : " " + why.getStackTraceElementProxyArray()[0]));
             }
             return line.append("}\n").toString().getBytes(StandardCharsets.UTF_8);
         }
--- a/src/main/java/quartzspan/papers/Settings.java
+++ b/src/main/java/quartzspan/common/Settings.java
@@ -1,4 +1,4 @@
-package quartzspan.papers;
+package quartzspan.common;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -32,29 +32,54 @@
  * @param losses machines of the core that may be lost at once
  * @param bounds the figures of the rules
  */
-public record Settings(String nodeName, String ip, String zone, Map<String, String> zones,
-        Map<String, InetSocketAddress> listen, int internalPort, List<InetSocketAddress> seeds, boolean bootstrap,
-        boolean voter, int memoryMb, int descriptors, Path dataDirectory, int heartbeatMs, int losses, Bounds bounds) {
+public record Settings(
+        String nodeName,
+        String ip,
+        String zone,
+        Map<String, String> zones,
+        Map<String, InetSocketAddress> listen,
+        int internalPort,
+        List<InetSocketAddress> seeds,
+        boolean bootstrap,
+        boolean voter,
+        int memoryMb,
+        int descriptors,
+        Path dataDirectory,
+        int heartbeatMs,
+        int losses,
+        Bounds bounds) {
 
     /** Name of the environment variable that names the file. */
     public static final String VARIABLE = "QUARTZSPAN_CONFIG";
 
     /** The figures of the rules that this system acts on; names and units are those of the settings file. */
-    public record Bounds(int drainTimeoutMs, double gracePeriodS, int configApplyMs, boolean strictRevocation,
-            int revocationMs, double retryBudgetRatio, double retryWindowS, int retryAllowance, int transitMs,
-            int ackTimeoutMs, int leaseMs, int versionApplyMs) { }
+    public record Bounds(
+            int drainTimeoutMs,
+            double gracePeriodS,
+            int configApplyMs,
+            boolean strictRevocation,
+            int revocationMs,
+            double retryBudgetRatio,
+            double retryWindowS,
+            int retryAllowance,
+            int transitMs,
+            int ackTimeoutMs,
+            int leaseMs,
+            int versionApplyMs) {}
 
     /** Reads the file that the environment names. */
     public static Settings load() {
         String path = System.getenv(VARIABLE);
         if (path == null || path.isEmpty()) {
-            throw new Refusal(Refusal.Code.SETTINGS_MISSING, VARIABLE + " is not set",
-                    "name the settings file in it");
+            throw new FleetException(
+                    FleetException.Code.SETTINGS_MISSING, VARIABLE + " is not set", "name the settings file in it");
         }
         try {
             return parse(Files.readString(Path.of(path)));
         } catch (IOException e) {
-            throw new Refusal(Refusal.Code.SETTINGS_MISSING, "can't read " + path + ": " + e.getMessage(),
+            throw new FleetException(
+                    FleetException.Code.SETTINGS_MISSING,
+                    "can't read " + path + ": " + e.getMessage(),
                     "name a readable file in " + VARIABLE);
         }
     }
@@ -72,30 +97,50 @@
         }
         Fields f = new Fields(top, "");
         Fields ports = new Fields(top, "");
-        List<Integer> internal = ports.list("internal_ports").stream().map(p -> port(p, "internal_ports")).toList();
+        List<Integer> internal = ports.list("internal_ports").stream()
+                .map(p -> port(p, "internal_ports"))
+                .toList();
         if (internal.size() != 2 || internal.get(0) > internal.get(1)) {
             throw invalid("internal_ports", "must be the first and the last free port");
         }
         Map<String, InetSocketAddress> listen = new java.util.HashMap<>();
-        f.map("listen_addresses").forEach((k, v) -> listen.put(String.valueOf(k),
-                address(String.valueOf(v), "listen_addresses." + k)));
+        f.map("listen_addresses")
+                .forEach((k, v) -> listen.put(String.valueOf(k), address(String.valueOf(v), "listen_addresses." + k)));
         Map<String, String> zones = new java.util.HashMap<>();
         f.map("zones").forEach((k, v) -> zones.put(String.valueOf(k), String.valueOf(v)));
         Fields limits = new Fields(f.map("limits"), "limits.");
         Fields losses = new Fields(f.map("fault_tolerance"), "fault_tolerance.");
         Fields b = new Fields(f.map("bounds"), "bounds.");
         Object directory = top.get("data_directory");
-        return new Settings(f.text("node_name"), f.text("ip_address"), f.text("zone"), Map.copyOf(zones),
-                Map.copyOf(listen), internal.get(0),
-                f.list("seed_nodes").stream().map(s -> address(String.valueOf(s), "seed_nodes")).toList(),
-                f.flag("bootstrap", false), f.flag("quorum_member", false), limits.count("memory_mb", 256),
-                limits.count("file_descriptors", 1024), directory == null ? null : Path.of(String.valueOf(directory)),
-                f.count("heartbeat_ms", 1000), losses.countFrom0("machines", 0),
-                new Bounds(b.count("drain_timeout_ms", 2000), b.number("grace_period_s", 8),
-                        b.count("config_apply_ms", 2000), b.flag("strict_revocation", false),
-                        b.count("revocation_ms", 5000), b.number("retry_budget_ratio", 0.2),
-                        b.number("retry_window_s", 10), b.countFrom0("retry_allowance", 0),
-                        b.count("transit_ms", 120), b.count("ack_timeout_ms", 4000), b.count("lease_ms", 3000),
+        return new Settings(
+                f.text("node_name"),
+                f.text("ip_address"),
+                f.text("zone"),
+                Map.copyOf(zones),
+                Map.copyOf(listen),
+                internal.get(0),
+                f.list("seed_nodes").stream()
+                        .map(s -> address(String.valueOf(s), "seed_nodes"))
+                        .toList(),
+                f.flag("bootstrap", false),
+                f.flag("quorum_member", false),
+                limits.count("memory_mb", 256),
+                limits.count("file_descriptors", 1024),
+                directory == null ? null : Path.of(String.valueOf(directory)),
+                f.count("heartbeat_ms", 1000),
+                losses.countFrom0("machines", 0),
+                new Bounds(
+                        b.count("drain_timeout_ms", 2000),
+                        b.number("grace_period_s", 8),
+                        b.count("config_apply_ms", 2000),
+                        b.flag("strict_revocation", false),
+                        b.count("revocation_ms", 5000),
+                        b.number("retry_budget_ratio", 0.2),
+                        b.number("retry_window_s", 10),
+                        b.countFrom0("retry_allowance", 0),
+                        b.count("transit_ms", 120),
+                        b.count("ack_timeout_ms", 4000),
+                        b.count("lease_ms", 3000),
                         b.count("version_apply_ms", 10_000)));
     }
 
@@ -141,8 +186,9 @@
         throw invalid(name, "must hold ports from 1 to 65535, but has " + value);
     }
 
-    private static Refusal invalid(String name, String what) {
-        return new Refusal(Refusal.Code.SETTINGS_INVALID, name + " " + what, "mend " + name + " in the settings file");
+    private static FleetException invalid(String name, String what) {
+        return new FleetException(
+                FleetException.Code.SETTINGS_INVALID, name + " " + what, "mend " + name + " in the settings file");
     }
 
     /** Fields of one mapping, refused by name where they are not what they must be. */
@@ -210,7 +256,7 @@
 
     /** Ends a program whose start failed, with one line and the status of the refusal behind it. */
     public static void refuse(Exception why, Consumer<String> log) {
-        Refusal refusal = Refusal.in(why);
+        FleetException refusal = FleetException.in(why);
         log.accept(refusal != null ? refusal.toString() : "the start failed: " + why);
         System.exit(refusal != null ? refusal.code().exit() : 1);
     }
--- a/src/main/java/quartzspan/manifest/Manifest.java
+++ b/src/main/java/quartzspan/configuration/Configuration.java
@@ -1,4 +1,4 @@
-package quartzspan.manifest;
+package quartzspan.configuration;
 
 import jakarta.json.JsonArray;
 import jakarta.json.JsonException;
@@ -18,27 +18,46 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import quartzspan.papers.Refusal;
+import quartzspan.common.FleetException;
 
 /** A whole configuration of the operators, read and checked. The document itself is kept as it was sent. */
-public final class Manifest {
+public final class Configuration {
     /** Depth and size are bounded by the reader and by the size of a request. */
     private static final JsonProvider JSON = JsonProvider.provider();
+
     private static final JsonReaderFactory READERS = JSON.createReaderFactory(Map.of());
     private static final List<String> NAMED = List.of("routes", "services", "tenants");
     /** Before the operators have sent one: nothing is routed. */
-    public static final Manifest NONE = new Manifest(JSON.createObjectBuilder().add("version", 0)
-            .add("routes", JsonValue.EMPTY_JSON_ARRAY).add("services", JsonValue.EMPTY_JSON_ARRAY).build());
+    public static final Configuration NONE = new Configuration(JSON.createObjectBuilder()
+            .add("version", 0)
+            .add("routes", JsonValue.EMPTY_JSON_ARRAY)
+            .add("services", JsonValue.EMPTY_JSON_ARRAY)
+            .build());
 
     /** What repeating a request of a route does. */
-    public enum RouteType { READ_ONLY, MUTATING, STREAMING }
+    public enum RouteType {
+        READ_ONLY,
+        MUTATING,
+        STREAMING
+    }
 
     /** Part of a route's traffic that goes to a service. */
-    public record Share(String service, long weight) { }
+    public record Share(String service, long weight) {}
 
     /** A route; times in milliseconds. */
-    public record Route(String name, String host, String prefix, RouteType type, long timeoutMs, long targetMs,
-            int priority, List<Share> shares, int maxAttempts, boolean open, boolean affine, boolean resumable,
+    public record Route(
+            String name,
+            String host,
+            String prefix,
+            RouteType type,
+            long timeoutMs,
+            long targetMs,
+            int priority,
+            List<Share> shares,
+            int maxAttempts,
+            boolean open,
+            boolean affine,
+            boolean resumable,
             long gapAimMs) {
         /** Whether a request may run more than once. */
         public boolean repeatable() {
@@ -47,14 +66,24 @@
     }
 
     /** A service; {@code slots} is what one server runs at once, {@code store} the address of a prompt store. */
-    public record Service(String name, String healthPath, int maxConnections, int slots, List<String> models,
-            int eventCalls, long cacheTokens, long cacheBytes, double mbps, String store, String zone) { }
+    public record Service(
+            String name,
+            String healthPath,
+            int maxConnections,
+            int slots,
+            List<String> models,
+            int eventCalls,
+            long cacheTokens,
+            long cacheBytes,
+            double mbps,
+            String store,
+            String zone) {}
 
     /** A tenant. */
-    public record Tenant(String name, List<String> keys, int priority, boolean isolated) { }
+    public record Tenant(String name, List<String> keys, int priority, boolean isolated) {}
 
     /** What a client may send and how long it may take. */
-    public record Limits(int headerBytes, int bodyBytes, int headerTimeoutMs, int idleTimeoutMs) { }
+    public record Limits(int headerBytes, int bodyBytes, int headerTimeoutMs, int idleTimeoutMs) {}
 
     private final JsonObject document;
     private final long version;
@@ -64,7 +93,7 @@
     private final Map<String, Tenant> byKey = new HashMap<>();
     private final Limits limits;
 
-    private Manifest(JsonObject document) {
+    private Configuration(JsonObject document) {
         this.document = document;
         this.version = whole(document, "version", -1);
         if (version < 0) {
@@ -85,32 +114,40 @@
             List<Route> same = byHost.computeIfAbsent(route.host(), h -> new ArrayList<>());
             for (Route other : same) {
                 if (other.prefix().equals(route.prefix())) {
-                    throw invalid("routes " + other.name() + " and " + route.name() + " share host and prefix",
+                    throw invalid(
+                            "routes " + other.name() + " and " + route.name() + " share host and prefix",
                             "give one of them another path_prefix");
                 }
             }
             same.add(route);
             routes.add(route);
         }
-        byHost.values().forEach(list -> list.sort((a, b) -> b.prefix().length() - a.prefix().length()));
+        byHost.values()
+                .forEach(list ->
+                        list.sort((a, b) -> b.prefix().length() - a.prefix().length()));
         for (JsonObject t : objects(document, "tenants")) {
             Tenant tenant = tenant(t);
             for (String key : tenant.keys()) {
                 Tenant other = byKey.put(key, tenant);
                 if (other != null && !other.name().equals(tenant.name())) {
-                    throw invalid("tenants " + other.name() + " and " + tenant.name() + " share a key",
+                    throw invalid(
+                            "tenants " + other.name() + " and " + tenant.name() + " share a key",
                             "give each tenant keys of its own");
                 }
             }
         }
-        JsonObject l = document.containsKey("limits") ? object(document.get("limits"), "limits")
-                : JsonValue.EMPTY_JSON_OBJECT;
-        this.limits = new Limits(positive(l, "max_header_bytes", 16_384), positive(l, "max_body_bytes", 4_194_304),
-                positive(l, "header_timeout_ms", 3_000), positive(l, "idle_timeout_ms", 15_000));
+        JsonObject l =
+                document.containsKey("limits") ? object(document.get("limits"), "limits") : JsonValue.EMPTY_JSON_OBJECT;
+        this.limits = new Limits(
+                positive(l, "max_header_bytes", 16_384),
+                positive(l, "max_body_bytes", 4_194_304),
+                positive(l, "header_timeout_ms", 3_000),
+                positive(l, "idle_timeout_ms", 15_000));
         for (Route route : routes) {
             for (Share share : route.shares()) {
                 if (!services.containsKey(share.service())) {
-                    throw invalid("route " + route.name() + " names the unknown service " + share.service(),
+                    throw invalid(
+                            "route " + route.name() + " names the unknown service " + share.service(),
                             "add the service or name another");
                 }
             }
@@ -120,8 +157,8 @@
     // ---- reading -------------------------------------------------------------------------------------
 
     /** Reads and checks a whole configuration. */
-    public static Manifest read(byte[] json) {
-        return new Manifest(json(json));
+    public static Configuration read(byte[] json) {
+        return new Configuration(json(json));
     }
 
     /** A JSON object, whole. */
@@ -129,18 +166,20 @@
         try (JsonReader in = READERS.createReader(new ByteArrayInputStream(bytes), StandardCharsets.UTF_8)) {
             return in.readObject();
         } catch (JsonException | IllegalStateException | ClassCastException e) {
-            throw new Refusal(Refusal.Code.CONFIG_UNREADABLE, "can't be read as a JSON object: " + e.getMessage(),
+            throw new FleetException(
+                    FleetException.Code.CONFIG_UNREADABLE,
+                    "can't be read as a JSON object: " + e.getMessage(),
                     "send the whole document again");
         }
     }
 
     /** This configuration with named items replaced, added and removed. */
-    public Manifest updated(JsonObject patch) {
+    public Configuration updated(JsonObject patch) {
         JsonObjectBuilder next = JSON.createObjectBuilder(document);
-        JsonObject upsert = patch.containsKey("upsert") ? object(patch.get("upsert"), "upsert")
-                : JsonValue.EMPTY_JSON_OBJECT;
-        JsonObject remove = patch.containsKey("remove") ? object(patch.get("remove"), "remove")
-                : JsonValue.EMPTY_JSON_OBJECT;
+        JsonObject upsert =
+                patch.containsKey("upsert") ? object(patch.get("upsert"), "upsert") : JsonValue.EMPTY_JSON_OBJECT;
+        JsonObject remove =
+                patch.containsKey("remove") ? object(patch.get("remove"), "remove") : JsonValue.EMPTY_JSON_OBJECT;
         for (String kind : NAMED) {
             if (!upsert.containsKey(kind) && !remove.containsKey(kind)) {
                 continue;
@@ -165,7 +204,7 @@
             next.add("limits", patch.get("limits"));
         }
         next.add("version", whole(patch, "version", -1));
-        return new Manifest(next.build());
+        return new Configuration(next.build());
     }
 
     private static Route route(JsonObject r) {
@@ -200,10 +239,20 @@
         } catch (IllegalArgumentException e) {
             throw invalid(in + "there is no such route_type", "use read_only, mutating or streaming");
         }
-        return new Route(name, text(r, "hostname", in).toLowerCase(Locale.ROOT), prefix, type, timeout,
-                Math.max(1, whole(r, "target_latency_ms", timeout)), (int) whole(r, "priority", 0), List.copyOf(shares),
-                (int) Math.max(1, whole(r, "max_attempts", 1)), flag(r, "public"), flag(r, "session_affinity"),
-                flag(r, "resumable"), whole(r, "gap_aim_ms", 0));
+        return new Route(
+                name,
+                text(r, "hostname", in).toLowerCase(Locale.ROOT),
+                prefix,
+                type,
+                timeout,
+                Math.max(1, whole(r, "target_latency_ms", timeout)),
+                (int) whole(r, "priority", 0),
+                List.copyOf(shares),
+                (int) Math.max(1, whole(r, "max_attempts", 1)),
+                flag(r, "public"),
+                flag(r, "session_affinity"),
+                flag(r, "resumable"),
+                whole(r, "gap_aim_ms", 0));
     }
 
     private static Service service(JsonObject s) {
@@ -213,11 +262,18 @@
         objects(e, "models").forEach(m -> models.add(name(m, "models")));
         boolean store = s.containsKey("cache_store_address");
         JsonObject kept = store ? s : e;
-        return new Service(name, s.getString("health_path", "/health"), positive(s, "max_connections", 64),
-                positive(e, "capacity", 8), List.copyOf(models), positive(kept, "max_concurrent", 4),
-                whole(kept, "cache_tokens", 0), whole(e, "cache_bytes", 0),
+        return new Service(
+                name,
+                s.getString("health_path", "/health"),
+                positive(s, "max_connections", 64),
+                positive(e, "capacity", 8),
+                List.copyOf(models),
+                positive(kept, "max_concurrent", 4),
+                whole(kept, "cache_tokens", 0),
+                whole(e, "cache_bytes", 0),
                 kept.get("bandwidth_mbps") instanceof JsonNumber n ? n.doubleValue() : 0,
-                s.getString("cache_store_address", null), s.getString("zone", null));
+                s.getString("cache_store_address", null),
+                s.getString("zone", null));
     }
 
     private static Tenant tenant(JsonObject t) {
@@ -280,7 +336,8 @@
         if (v == null) {
             return otherwise;
         }
-        if (v instanceof JsonNumber n && n.doubleValue() == Math.rint(n.doubleValue())
+        if (v instanceof JsonNumber n
+                && n.doubleValue() == Math.rint(n.doubleValue())
                 && Math.abs(n.doubleValue()) < 1e15) {
             return n.longValue();
         }
@@ -295,8 +352,8 @@
         return (int) n;
     }
 
-    private static Refusal invalid(String reason, String remedy) {
-        return new Refusal(Refusal.Code.CONFIG_INVALID, reason, remedy);
+    private static FleetException invalid(String reason, String remedy) {
+        return new FleetException(FleetException.Code.CONFIG_INVALID, reason, remedy);
     }
 
     // ---- asking --------------------------------------------------------------------------------------
--- a/src/main/java/quartzspan/customhouse/Calls.java
+++ b/src/main/java/quartzspan/controlplane/CallTable.java
@@ -1,4 +1,4 @@
-package quartzspan.customhouse;
+package quartzspan.controlplane;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -9,22 +9,22 @@
 import java.util.Map;
 import mulleinfront.proxy.Frontend.Client;
 import mulleinfront.proxy.Upstream.Answer;
-import quartzspan.papers.JsonLines;
-import quartzspan.papers.Refusal;
+import quartzspan.common.FleetException;
+import quartzspan.common.JsonLines;
 
 /** The calls that servers and operators make, each declared beside its handler. */
-final class Calls {
+final class CallTable {
     /** One call; {@code rest} is what follows the declared path. */
     interface Handler {
         void handle(Client client, HttpRequest in, byte[] body, String rest);
     }
 
-    private record Key(String method, String path) { }
+    private record Key(String method, String path) {}
 
     private final Map<Key, Handler> calls = new LinkedHashMap<>();
 
     /** Declares a call; a path that ends with a slash takes a name after it. */
-    Calls on(String method, String path, Handler handler) {
+    CallTable on(String method, String path, Handler handler) {
         calls.put(new Key(method, path), handler);
         return this;
     }
@@ -40,17 +40,26 @@
             } else if (named != null && slash + 1 < path.length()) {
                 named.handle(client, in, body, path.substring(slash + 1));
             } else {
-                error(client, HttpResponseStatus.NOT_FOUND, "NO_SUCH_CALL", "there is no such call",
+                error(
+                        client,
+                        HttpResponseStatus.NOT_FOUND,
+                        "NO_SUCH_CALL",
+                        "there is no such call",
                         "see docs/operate for the calls");
             }
-        } catch (Refusal why) {
+        } catch (FleetException why) {
             refuse(client, why);
         }
     }
 
     /** Says no, with what would mend it. */
-    static void refuse(Client client, Refusal why) {
-        error(client, HttpResponseStatus.valueOf(why.code().status()), why.code().name(), why.getMessage(), why.remedy());
+    static void refuse(Client client, FleetException why) {
+        error(
+                client,
+                HttpResponseStatus.valueOf(why.code().status()),
+                why.code().name(),
+                why.getMessage(),
+                why.remedy());
     }
 
     private static void error(Client client, HttpResponseStatus status, String code, String reason, String remedy) {
--- a/src/main/java/quartzspan/crossing/Crossing.java
+++ b/src/main/java/quartzspan/frontend/FrontendProxy.java
@@ -1,4 +1,4 @@
-package quartzspan.crossing;
+package quartzspan.frontend;
 
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
@@ -28,29 +28,29 @@
 import mulleinfront.proxy.Upstream;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import quartzspan.manifest.Manifest;
-import quartzspan.manifest.Manifest.Route;
-import quartzspan.manifest.Manifest.Service;
-import quartzspan.manifest.Manifest.Share;
-import quartzspan.manifest.Manifest.Tenant;
-import quartzspan.papers.Refusal;
-import quartzspan.papers.Settings;
-import quartzspan.roster.Fact;
-import quartzspan.roster.Roster;
-import quartzspan.roster.Server;
-import quartzspan.roster.Spread;
-import quartzspan.roster.Tidings;
-import quartzspan.warehouse.Consignment;
-import quartzspan.warehouse.Stock;
-import quartzspan.waybill.Carrier;
-import quartzspan.waybill.Waybill.Hello;
+import quartzspan.common.FleetException;
+import quartzspan.common.Settings;
+import quartzspan.configuration.Configuration;
+import quartzspan.configuration.Configuration.Route;
+import quartzspan.configuration.Configuration.Service;
+import quartzspan.configuration.Configuration.Share;
+import quartzspan.configuration.Configuration.Tenant;
+import quartzspan.promptindex.PromptIndex;
+import quartzspan.promptindex.PromptIndexUpdate;
+import quartzspan.registry.Gossip;
+import quartzspan.registry.GossipMessage;
+import quartzspan.registry.Registry;
+import quartzspan.registry.RegistryEntry;
+import quartzspan.registry.Server;
+import quartzspan.transport.MessageCodec.Hello;
+import quartzspan.transport.TcpTransport;
 
 /**
  * A frontend machine's process: takes clients' requests, finds their route and tenant in the configuration, and carries them
  * to the server that the decision module names. One event loop owns all of it.
  */
-public final class Crossing implements Frontend.Desk {
-    private static final Logger LOG = LoggerFactory.getLogger(Crossing.class);
+public final class FrontendProxy implements Frontend.Desk {
+    private static final Logger LOG = LoggerFactory.getLogger(FrontendProxy.class);
     private static final int TICK_MS = 50;
     private static final int OWN_DESCRIPTORS = 300;
     private static final int DIAL_US = 400_000;
@@ -62,18 +62,19 @@
     private static final long FRESH_MARGIN_MS = 700;
     /** How long new connections may still come after readiness says no. */
     private static final long LAST_CLIENTS_MS = 3_300;
+
     private static final long KILL_MARGIN_MS = 700;
     /** Headers that only the system sets. */
-    private static final List<String> OURS = List.of("X-Expected-Instance", "X-Tenant", "Cache-Salt", "Kv-Fetch", "Kv-Save",
-            "Expect-Version", "Priority");
+    private static final List<String> OURS = List.of(
+            "X-Expected-Instance", "X-Tenant", "Cache-Salt", "Kv-Fetch", "Kv-Save", "Expect-Version", "Priority");
 
     private final Settings settings;
     private final Clock clock = new Clock();
     private final EventLoopGroup group;
     private final EventLoop loop;
-    private final Roster roster = new Roster();
-    private final Spread spread;
-    private final Carrier carrier;
+    private final Registry registry = new Registry();
+    private final Gossip gossip;
+    private final TcpTransport transport;
     private final Frontend frontend;
     private final Frontend readiness;
     private final Upstream upstream;
@@ -83,20 +84,22 @@
     private final Map<String, String> addresses = new HashMap<>();
     /** Version of the weights of each server, as last heard or seen. */
     private final Map<String, Long> weights = new HashMap<>();
-    private final Stock stock = new Stock();
-    private final Set<Passage> open = new HashSet<>();
+
+    private final PromptIndex promptIndex = new PromptIndex();
+    private final Set<ProxiedRequest> open = new HashSet<>();
     private final CountDownLatch ended = new CountDownLatch(1);
     private long leavingAt = Long.MAX_VALUE;
     private boolean ready;
 
-    private Crossing(Settings settings, List<String> seeds, EventLoopGroup group, EventLoop loop) {
+    private FrontendProxy(Settings settings, List<String> seeds, EventLoopGroup group, EventLoop loop) {
         this.settings = settings;
         this.group = group;
         this.loop = loop;
         String self = text(settings.internal());
-        this.upstream = new Upstream(loop, DIAL_US, IDLE_US, Math.max(64, (settings.descriptors() - OWN_DESCRIPTORS) / 3));
-        this.carrier = new Carrier(loop, new Hello(false, self, "", settings.zone()), this::received);
-        this.spread = new Spread(self, false, seeds, roster, carrier::send);
+        this.upstream =
+                new Upstream(loop, DIAL_US, IDLE_US, Math.max(64, (settings.descriptors() - OWN_DESCRIPTORS) / 3));
+        this.transport = new TcpTransport(loop, new Hello(false, self, "", settings.zone()), this::received);
+        this.gossip = new Gossip(self, false, seeds, registry, transport::send);
         this.frontend = new Frontend(this, loop);
         this.placement = new Placement(System.nanoTime(), new Placement.Connections() {
             @Override
@@ -109,28 +112,34 @@
                 return hosts.get(server).reachable();
             }
         });
-        this.readiness = new Frontend(new Frontend.Desk() {
-            @Override
-            public long now() {
-                return clock.now();
-            }
-
-            @Override
-            public void take(Frontend.Client client, HttpRequest in, byte[] body, long at) {
-                client.answer(!in.uri().split("\\?", 2)[0].equals("/quartzspan/readiness") ? HttpResponseStatus.NOT_FOUND
-                        : ready() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE);
-            }
-
-            @Override
-            public Frontend.Terms terms() {
-                return new Frontend.Terms(64, 8 * 1024, 8 * 1024, 30_000, 5_000);
-            }
-        }, loop);
+        this.readiness = new Frontend(
+                new Frontend.Desk() {
+                    @Override
+                    public long now() {
+                        return clock.now();
+                    }
+
+                    @Override
+                    public void take(Frontend.Client client, HttpRequest in, byte[] body, long at) {
+                        client.answer(
+                                !in.uri().split("\\?", 2)[0].equals("/quartzspan/readiness")
+                                        ? HttpResponseStatus.NOT_FOUND
+                                        : ready() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE);
+                    }
+
+                    @Override
+                    public Frontend.Terms terms() {
+                        return new Frontend.Terms(64, 8 * 1024, 8 * 1024, 30_000, 5_000);
+                    }
+                },
+                loop);
     }
 
     /** Internal addresses of the core machines to begin with: on all machines the ports are alike. */
     private static List<String> seeds(Settings settings) {
-        return settings.seeds().stream().map(s -> s.getHostString() + ':' + settings.internalPort()).toList();
+        return settings.seeds().stream()
+                .map(s -> s.getHostString() + ':' + settings.internalPort())
+                .toList();
     }
 
     private static String text(InetSocketAddress at) {
@@ -138,38 +147,45 @@
     }
 
     /** Starts to serve; returns once it listens. It is ready when it has a configuration that is surely the newest. */
-    public static Crossing start(Settings settings) throws Exception {
+    public static FrontendProxy start(Settings settings) throws Exception {
         return start(settings, seeds(settings));
     }
 
     /** The same, with internal addresses of core machines in place of the settings' seeds. */
-    public static Crossing start(Settings settings, String... cores) throws Exception {
+    public static FrontendProxy start(Settings settings, String... cores) throws Exception {
         return start(settings, List.of(cores));
     }
 
-    private static Crossing start(Settings settings, List<String> seeds) throws Exception {
+    private static FrontendProxy start(Settings settings, List<String> seeds) throws Exception {
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         EventLoop loop = group.next();
-        Crossing c = loop.submit(() -> new Crossing(settings, seeds, group, loop)).get();
-        for (ChannelFuture f : List.of(c.carrier.listen(settings.internal()),
-                loop.submit(() -> c.readiness.listen(settings.listens("readiness"))).get(),
-                loop.submit(() -> c.frontend.listen(settings.listens("frontend"))).get())) {
+        FrontendProxy c = loop.submit(() -> new FrontendProxy(settings, seeds, group, loop))
+                .get();
+        for (ChannelFuture f : List.of(
+                c.transport.listen(settings.internal()),
+                loop.submit(() -> c.readiness.listen(settings.listens("readiness")))
+                        .get(),
+                loop.submit(() -> c.frontend.listen(settings.listens("frontend")))
+                        .get())) {
             if (!f.await().isSuccess()) {
-                throw new Refusal(Refusal.Code.ADDRESS_TAKEN, "can't listen: " + f.cause().getMessage(),
+                throw new FleetException(
+                        FleetException.Code.ADDRESS_TAKEN,
+                        "can't listen: " + f.cause().getMessage(),
                         "end what holds the address");
             }
         }
         loop.submit(() -> {
-            c.upstream.begin();
-            loop.scheduleWithFixedDelay(c::tick, 1, TICK_MS, TimeUnit.MILLISECONDS);
-        }).get();
+                    c.upstream.begin();
+                    loop.scheduleWithFixedDelay(c::tick, 1, TICK_MS, TimeUnit.MILLISECONDS);
+                })
+                .get();
         LOG.info("proxy {} listens at {}", settings.nodeName(), settings.listens("frontend"));
         return c;
     }
 
     /** Settings that changed while it serves: whom to ask first. */
     void reload(Settings changed) {
-        loop.execute(() -> spread.seeds(seeds(changed)));
+        loop.execute(() -> gossip.seeds(seeds(changed)));
     }
 
     /** Serves to the end what came and still comes, without losing any of it; returns when the process may end. */
@@ -180,13 +196,19 @@
             leavingAt = ms();
             ready = false;
             frontend.leave();
-            loop.scheduleWithFixedDelay(() -> {
-                long since = ms() - leavingAt;
-                if (since > Math.min(LAST_CLIENTS_MS, graceMs - KILL_MARGIN_MS) && open.isEmpty() && frontend.idle()
-                        || since > graceMs - KILL_MARGIN_MS) {
-                    ended.countDown();
-                }
-            }, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+            loop.scheduleWithFixedDelay(
+                    () -> {
+                        long since = ms() - leavingAt;
+                        if (since > Math.min(LAST_CLIENTS_MS, graceMs - KILL_MARGIN_MS)
+                                        && open.isEmpty()
+                                        && frontend.idle()
+                                || since > graceMs - KILL_MARGIN_MS) {
+                            ended.countDown();
+                        }
+                    },
+                    TICK_MS,
+                    TICK_MS,
+                    TimeUnit.MILLISECONDS);
         });
         try {
             ended.await(graceMs, TimeUnit.MILLISECONDS);
@@ -230,18 +252,23 @@
 
     /** A server turned a request away for its weights: it has others by now, most likely those that were named last. */
     void reweighed(String server, String model) {
-        weights.put(server, weights(server) == 0 ? 0L : Math.max(weights(server),
-                roster.ledger().weights().getOrDefault(model, 0L)));
+        weights.put(
+                server,
+                weights(server) == 0
+                        ? 0L
+                        : Math.max(weights(server), registry.state().weights().getOrDefault(model, 0L)));
     }
 
-    Stock stock() {
-        return stock;
+    PromptIndex promptIndex() {
+        return promptIndex;
     }
 
     /** The stores of prompts that answer. */
     List<String> stores() {
-        return manifest().services().values().stream().map(Service::store)
-                .filter(s -> s != null && stock.knows(Stock.store(s))).toList();
+        return configuration().services().values().stream()
+                .map(Service::store)
+                .filter(s -> s != null && promptIndex.knows(PromptIndex.store(s)))
+                .toList();
     }
 
     /** Where a server is reached, as a text; null if it is gone. */
@@ -249,8 +276,8 @@
         return addresses.get(server);
     }
 
-    void done(Passage passage) {
-        open.remove(passage);
+    void done(ProxiedRequest request) {
+        open.remove(request);
     }
 
     long comeBackUs(Route route) {
@@ -259,20 +286,26 @@
 
     @Override
     public Frontend.Terms terms() {
-        Manifest.Limits l = manifest().limits();
-        return new Frontend.Terms(Math.max(64, (settings.descriptors() - OWN_DESCRIPTORS) / 2), l.headerBytes() + 1024,
-                l.bodyBytes(), l.idleTimeoutMs() + 5_000L, Math.max(10_000, l.headerTimeoutMs()));
+        Configuration.Limits l = configuration().limits();
+        return new Frontend.Terms(
+                Math.max(64, (settings.descriptors() - OWN_DESCRIPTORS) / 2),
+                l.headerBytes() + 1024,
+                l.bodyBytes(),
+                l.idleTimeoutMs() + 5_000L,
+                Math.max(10_000, l.headerTimeoutMs()));
     }
 
-    private Manifest manifest() {
-        return roster.ledger().manifest();
+    private Configuration configuration() {
+        return registry.state().configuration();
     }
 
     /** Whether what is known here is new enough to let anybody in by it. */
     private boolean fresh() {
-        long age = ms() - roster.freshAt();
-        return manifest().version() > 0 && (!settings.bounds().strictRevocation()
-                ? roster.freshAt() > 0 : age < settings.bounds().revocationMs() - FRESH_MARGIN_MS);
+        long age = ms() - registry.freshAt();
+        return configuration().version() > 0
+                && (!settings.bounds().strictRevocation()
+                        ? registry.freshAt() > 0
+                        : age < settings.bounds().revocationMs() - FRESH_MARGIN_MS);
     }
 
     private boolean ready() {
@@ -284,12 +317,12 @@
     private void tick() {
         try {
             long now = ms();
-            spread.onTick(now, null);
-            roster.tidy(now);
-            carrier.tidy(10_000);
+            gossip.onTick(now, null);
+            registry.tidy(now);
+            transport.tidy(10_000);
             if (!ready && fresh()) {
                 ready = true;
-                LOG.info("ready with version {}", manifest().version());
+                LOG.info("ready with version {}", configuration().version());
             }
         } catch (RuntimeException e) {
             LOG.error("a turn failed", e);
@@ -297,26 +330,28 @@
     }
 
     private void received(Hello from, Object message) {
-        if (message instanceof Consignment c && c.kind() != Consignment.Kind.ASK && stock.take(c)) {
-            carrier.send(from.address(), new Consignment(Consignment.Kind.ASK, c.server(), 0, 0, new long[0], new int[0]));
+        if (message instanceof PromptIndexUpdate c && c.kind() != PromptIndexUpdate.Kind.ASK && promptIndex.take(c)) {
+            transport.send(
+                    from.address(),
+                    new PromptIndexUpdate(PromptIndexUpdate.Kind.ASK, c.server(), 0, 0, new long[0], new int[0]));
         }
-        if (!(message instanceof Tidings tidings)) {
+        if (!(message instanceof GossipMessage update)) {
             return;
         }
-        Roster.News news = spread.onTidings(ms(), from.address(), tidings);
-        news.facts().forEach(this::learn);
-        if (news.ledger()) {
+        Registry.News news = gossip.onGossip(ms(), from.address(), update);
+        news.entries().forEach(this::learn);
+        if (news.state()) {
             // Bounds of connections are the configuration's.
-            roster.all(Fact.Subject.SERVER).forEach(this::learn);
+            registry.all(RegistryEntry.Subject.SERVER).forEach(this::learn);
         }
     }
 
-    private void learn(Fact f) {
+    private void learn(RegistryEntry f) {
         Server s = Server.of(f);
         if (s == null) {
             return;
         }
-        if (s.state() == Fact.State.GONE || s.state() == Fact.State.LOST) {
+        if (s.state() == RegistryEntry.State.GONE || s.state() == RegistryEntry.State.LOST) {
             Upstream.Host host = hosts.get(s.id());
             if (host != null) {
                 placement.gone(s.id());
@@ -325,26 +360,33 @@
                 hosts.remove(s.id());
                 addresses.remove(s.id());
                 weights.remove(s.id());
-                stock.forget(s.id());
+                promptIndex.forget(s.id());
             }
             return;
         }
         int colon = s.address().lastIndexOf(':');
-        boolean ready = s.state() == Fact.State.READY;
-        Service service = manifest().services().get(s.service());
+        boolean ready = s.state() == RegistryEntry.State.READY;
+        Service service = configuration().services().get(s.service());
         int most = service == null ? 64 : Math.max(2, service.maxConnections() / Math.max(1, proxies()));
         Upstream.Host host = hosts.computeIfAbsent(s.id(), Upstream.Host::new);
         if (!s.address().equals(addresses.put(s.id(), s.address())) || !ready) {
             upstream.hangUp(host);
         }
-        host.listed(new InetSocketAddress(s.address().substring(0, colon),
-                (int) Framing.number(s.address().substring(colon + 1))), ready, most);
+        host.listed(
+                new InetSocketAddress(s.address().substring(0, colon), (int)
+                        Framing.number(s.address().substring(colon + 1))),
+                ready,
+                most);
         placement.listed(now(), s.id(), s.service(), ready, s.loading() > 0);
         weights.put(s.id(), s.weights());
     }
 
     private int proxies() {
-        return (int) Math.max(1, roster.all(Fact.Subject.PROXY).stream().filter(f -> f.state() == Fact.State.READY).count());
+        return (int) Math.max(
+                1,
+                registry.all(RegistryEntry.Subject.PROXY).stream()
+                        .filter(f -> f.state() == RegistryEntry.State.READY)
+                        .count());
     }
 
     // ---- clients -------------------------------------------------------------------------------------
@@ -353,20 +395,23 @@
     public void take(Frontend.Client client, HttpRequest in, byte[] body, long at) {
         HttpHeaders h = in.headers();
         if (!fresh()) {
-            client.answer(HttpResponseStatus.SERVICE_UNAVAILABLE, new Upstream.Answer(new byte[0], null, null), 300_000);
+            client.answer(
+                    HttpResponseStatus.SERVICE_UNAVAILABLE, new Upstream.Answer(new byte[0], null, null), 300_000);
             return;
         }
-        Manifest manifest = manifest();
+        Configuration configuration = configuration();
         String host = h.get(HttpHeaderNames.HOST, "").toLowerCase(Locale.ROOT).split(":", 2)[0];
-        Route route = manifest.route(host, in.uri().split("\\?", 2)[0]);
+        Route route = configuration.route(host, in.uri().split("\\?", 2)[0]);
         if (route == null) {
             client.answer(HttpResponseStatus.NOT_FOUND);
             return;
         }
         Tenant tenant = null;
-        if (manifest.hasTenants()) {
+        if (configuration.hasTenants()) {
             String key = h.get(HttpHeaderNames.AUTHORIZATION, "");
-            tenant = key.startsWith("Token ") ? manifest.tenant(key.substring(6).trim()) : null;
+            tenant = key.startsWith("Token ")
+                    ? configuration.tenant(key.substring(6).trim())
+                    : null;
             if (tenant == null && !route.open()) {
                 client.answer(HttpResponseStatus.UNAUTHORIZED);
                 return;
@@ -374,7 +419,7 @@
         }
         Call call = Call.of(in, body);
         OURS.forEach(call.headers()::remove);
-        if (manifest.hasTenants()) {
+        if (configuration.hasTenants()) {
             call.headers().remove(HttpHeaderNames.AUTHORIZATION);
         }
         if (tenant != null) {
@@ -382,16 +427,27 @@
         }
         boolean walled = tenant != null && tenant.isolated();
         if (route.affine()) {
-            call.headers().set("Priority", Math.min(9, 3 * Math.max(0, tenant == null ? 0 : tenant.priority())
-                    + Math.max(0, route.priority())));
+            call.headers()
+                    .set(
+                            "Priority",
+                            Math.min(
+                                    9,
+                                    3 * Math.max(0, tenant == null ? 0 : tenant.priority())
+                                            + Math.max(0, route.priority())));
         }
         long deadlineMs = Framing.number(h.get("X-Deadline-Ms"));
         long endAt = at + 1000 * Math.min(deadlineMs < 1 ? route.timeoutMs() : deadlineMs, route.timeoutMs());
         placement.came(settings.bounds().retryBudgetRatio(), settings.bounds().retryAllowance(), proxies());
-        Passage passage = new Passage(this, client, route, job(route, h, walled ? tenant.name() : ""), call, endAt,
+        ProxiedRequest request = new ProxiedRequest(
+                this,
+                client,
+                route,
+                job(route, h, walled ? tenant.name() : ""),
+                call,
+                endAt,
                 new Prompt(h.get("X-Prompt-Prefix"), h.get("X-Model", ""), walled ? "w" + tenant.name() : ""));
-        open.add(passage);
-        passage.start();
+        open.add(request);
+        request.start();
     }
 
     /** What the decision module is told of a request: its key is the model, the wall and the parts that others share. */
@@ -403,7 +459,10 @@
             int last = prefix.lastIndexOf(',');
             key = h.get("X-Model", "") + '|' + wall + '|' + (last < 0 ? prefix : prefix.substring(0, last));
         }
-        return new Placement.Job(service(route), key, Math.max(0, Framing.number(tokens[0].trim())),
+        return new Placement.Job(
+                service(route),
+                key,
+                Math.max(0, Framing.number(tokens[0].trim())),
                 tokens.length < 2 ? 0 : Math.max(0, Framing.number(tokens[1].trim())));
     }
 
--- a/src/main/java/quartzspan/crossing/Prompt.java
+++ b/src/main/java/quartzspan/frontend/Prompt.java
@@ -1,8 +1,8 @@
-package quartzspan.crossing;
+package quartzspan.frontend;
 
 import java.util.Arrays;
 import mulleinfront.proxy.Framing;
-import quartzspan.warehouse.Stock;
+import quartzspan.promptindex.PromptIndex;
 
 /** The prompt of a request, by its parts; {@code wall} is what keeps apart what tenants may not share. */
 final class Prompt {
@@ -21,7 +21,9 @@
         for (int i = 0; i < parts.length; i++) {
             int colon = parts[i].indexOf(':');
             ids[i] = (colon < 0 ? parts[i] : parts[i].substring(0, colon)).trim();
-            tokens[i] = colon < 0 ? 0 : Math.max(0, Framing.number(parts[i].substring(colon + 1).trim()));
+            tokens[i] = colon < 0
+                    ? 0
+                    : Math.max(0, Framing.number(parts[i].substring(colon + 1).trim()));
         }
         this.model = model;
         this.wall = wall;
@@ -53,7 +55,7 @@
         }
         long[] names = new long[ids.length];
         for (int i = 0; i < ids.length; i++) {
-            names[i] = Stock.part(salt, ids[i], model);
+            names[i] = PromptIndex.part(salt, ids[i], model);
         }
         return names;
     }
--- a/src/main/java/quartzspan/crossing/Passage.java
+++ b/src/main/java/quartzspan/frontend/ProxiedRequest.java
@@ -1,4 +1,4 @@
-package quartzspan.crossing;
+package quartzspan.frontend;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -17,21 +17,26 @@
 import mulleinfront.proxy.Frontend;
 import mulleinfront.proxy.Upstream;
 import mulleinfront.proxy.Upstream.Answer;
-import quartzspan.manifest.Manifest.Route;
-import quartzspan.warehouse.Stock;
+import quartzspan.configuration.Configuration.Route;
+import quartzspan.promptindex.PromptIndex;
 
 /** One request on its way: from its client to a server, to another if it surely has not run, and the answer back. */
-final class Passage implements Upstream.Reading {
+final class ProxiedRequest implements Upstream.Reading {
     private static final String NOT_EXECUTED = "X-Not-Executed";
-    private static final List<CharSequence> ONE_CONNECTION = List.of(HttpHeaderNames.CONNECTION, "Keep-Alive",
-            HttpHeaderNames.TRAILER, HttpHeaderNames.UPGRADE, "Proxy-Connection");
+    private static final List<CharSequence> ONE_CONNECTION = List.of(
+            HttpHeaderNames.CONNECTION,
+            "Keep-Alive",
+            HttpHeaderNames.TRAILER,
+            HttpHeaderNames.UPGRADE,
+            "Proxy-Connection");
     /** We are done this long before the client's time is up. */
     private static final long MARGIN_US = 15_000;
     /** Tokens that are worth a move to or from a store. */
     private static final long WORTH_MOVING = 150;
+
     private static final Answer NOTHING = new Answer(new byte[0], null, null);
 
-    private final Crossing crossing;
+    private final FrontendProxy proxy;
     private final Frontend.Client client;
     private final Route route;
     private final Job job;
@@ -41,9 +46,11 @@
     private final Prompt prompt;
     /** What the prompt's parts are named at the server that runs it. */
     private long[] parts = {};
+
     private final Set<String> tried = new HashSet<>();
     /** Servers that it reached. */
     private final Set<String> reached = new HashSet<>();
+
     private int sends;
     private boolean mayHaveRun;
     private boolean begun;
@@ -52,10 +59,10 @@
     private Upstream.Attempt attempt;
     private HttpResponse head;
 
-    Passage(Crossing crossing, Frontend.Client client, Route route, Job job, Call call, long endAt,
-            Prompt prompt) {
+    ProxiedRequest(
+            FrontendProxy proxy, Frontend.Client client, Route route, Job job, Call call, long endAt, Prompt prompt) {
         this.prompt = prompt;
-        this.crossing = crossing;
+        this.proxy = proxy;
         this.client = client;
         this.route = route;
         this.job = job;
@@ -70,9 +77,9 @@
     }
 
     private void next() {
-        long left = endAt - crossing.now();
-        String to = left <= 0 ? null : crossing.placement().pick(crossing.now(), job, tried);
-        Upstream.Host host = to == null ? null : crossing.host(to);
+        long left = endAt - proxy.now();
+        String to = left <= 0 ? null : proxy.placement().pick(proxy.now(), job, tried);
+        Upstream.Host host = to == null ? null : proxy.host(to);
         if (host == null) {
             refuse();
             return;
@@ -81,9 +88,15 @@
         head = null;
         HttpHeaders headers = new DefaultHttpHeaders().set(call.headers()).set("X-Expected-Instance", to);
         kept(headers, to);
-        crossing.placement().sent(to, job);
-        attempt = crossing.upstream().attempt(host, new Call(call.method(), call.uri(), headers, call.body()), left,
-                () -> !over, this, this::ended);
+        proxy.placement().sent(to, job);
+        attempt = proxy.upstream()
+                .attempt(
+                        host,
+                        new Call(call.method(), call.uri(), headers, call.body()),
+                        left,
+                        () -> !over,
+                        this,
+                        this::ended);
         attempt.start();
     }
 
@@ -92,7 +105,7 @@
      * wall, and a server of another version by now turns the request away: so nothing is ever used under other weights.
      */
     private void kept(HttpHeaders headers, String to) {
-        long weights = crossing.weights(to);
+        long weights = proxy.weights(to);
         if (weights == 0) {
             if (!prompt.wall().isEmpty()) {
                 headers.set("Cache-Salt", prompt.wall());
@@ -103,13 +116,19 @@
         headers.set("Cache-Salt", salt).set("Expect-Version", weights);
         long[] names = prompt.parts(salt);
         parts = names;
-        String source = crossing.placement().source(crossing.now(), job, to, server -> crossing.weights(server) != weights
-                ? 0 : crossing.stock().kept(server, names, prompt.tokens()));
-        String address = source == null || crossing.weights(source) != weights ? null : crossing.address(source);
-        long here = crossing.stock().kept(to, names, prompt.tokens());
-        long there = address == null ? here : crossing.stock().kept(source, names, prompt.tokens());
-        for (String store : crossing.stores()) {
-            long stored = crossing.stock().kept(Stock.store(store), names, prompt.tokens());
+        String source = proxy.placement()
+                .source(
+                        proxy.now(),
+                        job,
+                        to,
+                        server -> proxy.weights(server) != weights
+                                ? 0
+                                : proxy.promptIndex().kept(server, names, prompt.tokens()));
+        String address = source == null || proxy.weights(source) != weights ? null : proxy.address(source);
+        long here = proxy.promptIndex().kept(to, names, prompt.tokens());
+        long there = address == null ? here : proxy.promptIndex().kept(source, names, prompt.tokens());
+        for (String store : proxy.stores()) {
+            long stored = proxy.promptIndex().kept(PromptIndex.store(store), names, prompt.tokens());
             if (stored > Math.max(here, there) + WORTH_MOVING) {
                 address = store;
                 there = stored;
@@ -130,7 +149,7 @@
             if (attempt != null) {
                 attempt.cancel();
             }
-            crossing.done(this);
+            proxy.done(this);
         }
     }
 
@@ -146,7 +165,8 @@
     public Outcome outcome(HttpResponse answer) {
         head = answer;
         int status = answer.status().code();
-        return status >= 200 && status < 300 ? Outcome.OK
+        return status >= 200 && status < 300
+                ? Outcome.OK
                 : status == 421 || answer.headers().contains(NOT_EXECUTED) ? Outcome.QUEUE_FULL : Outcome.FAILED;
     }
 
@@ -161,9 +181,9 @@
             return false;
         }
         begun = true;
-        crossing.placement().answering(server);
+        proxy.placement().answering(server);
         for (int i = 0; i < parts.length; i++) {
-            crossing.stock().saw(server, parts[i], (int) prompt.tokens()[i]);
+            proxy.promptIndex().saw(server, parts[i], (int) prompt.tokens()[i]);
         }
         HttpResponse out = new DefaultHttpResponse(HttpVersion.HTTP_1_1, answer.status(), passedOn(answer.headers()));
         client.begin(out);
@@ -172,8 +192,8 @@
 
     private static HttpHeaders passedOn(HttpHeaders from) {
         HttpHeaders headers = new DefaultHttpHeaders().set(from);
-        from.getAll(HttpHeaderNames.CONNECTION).forEach(
-                names -> List.of(names.split(",")).forEach(name -> headers.remove(name.trim())));
+        from.getAll(HttpHeaderNames.CONNECTION)
+                .forEach(names -> List.of(names.split(",")).forEach(name -> headers.remove(name.trim())));
         ONE_CONNECTION.forEach(headers::remove);
         return headers;
     }
@@ -192,7 +212,7 @@
     }
 
     private void ended(Outcome outcome, Answer answer) {
-        crossing.placement().ended(crossing.now(), server, job, outcome);
+        proxy.placement().ended(proxy.now(), server, job, outcome);
         attempt = null;
         if (over) {
             return;
@@ -204,7 +224,7 @@
             } else {
                 client.cut();
             }
-            crossing.done(this);
+            proxy.done(this);
             return;
         }
         tried.add(server);
@@ -217,15 +237,16 @@
         if (head != null && head.status().code() == 421) {
             if (server.equals(head.headers().get("X-Instance-Id"))) {
                 tried.remove(server);
-                crossing.reweighed(server, call.headers().get("X-Model"));
+                proxy.reweighed(server, call.headers().get("X-Model"));
             } else {
-                crossing.placement().moved(crossing.now(), server);
+                proxy.placement().moved(proxy.now(), server);
             }
         }
         // The same server again is no further server: it has only changed its weights.
         boolean again = (!mayHaveRun || route.repeatable())
-                && (tried.contains(server) ? reached.size() < route.maxAttempts() : sends < 3) && tried.size() < 8
-                && (!arrived || crossing.placement().mayRepeat());
+                && (tried.contains(server) ? reached.size() < route.maxAttempts() : sends < 3)
+                && tried.size() < 8
+                && (!arrived || proxy.placement().mayRepeat());
         if (outcome == Outcome.FAILED && answer != null) {
             // The server's own word: it ran, and this is what came of it.
             conclude(head.status(), new Answer(answer.body(), null, own(passedOn(answer.headers()))), 0);
@@ -245,9 +266,11 @@
     /** The final answer where none was served: when to come back if it has not run, and no promise if it may have. */
     private void refuse() {
         if (!mayHaveRun) {
-            conclude(HttpResponseStatus.SERVICE_UNAVAILABLE, NOTHING, crossing.comeBackUs(route));
+            conclude(HttpResponseStatus.SERVICE_UNAVAILABLE, NOTHING, proxy.comeBackUs(route));
         } else {
-            conclude(crossing.now() >= endAt ? HttpResponseStatus.GATEWAY_TIMEOUT : HttpResponseStatus.BAD_GATEWAY, NOTHING,
+            conclude(
+                    proxy.now() >= endAt ? HttpResponseStatus.GATEWAY_TIMEOUT : HttpResponseStatus.BAD_GATEWAY,
+                    NOTHING,
                     0);
         }
     }
@@ -255,6 +278,6 @@
     private void conclude(HttpResponseStatus status, Answer answer, long retryAfterUs) {
         over = true;
         client.answer(status, answer, retryAfterUs);
-        crossing.done(this);
+        proxy.done(this);
     }
 }
--- a/src/main/java/quartzspan/rehearsal/Main.java
+++ b/src/main/java/quartzspan/localrun/Main.java
@@ -1,4 +1,4 @@
-package quartzspan.rehearsal;
+package quartzspan.localrun;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -22,10 +22,10 @@
 import java.util.stream.Stream;
 import mulleinfront.proxy.Frontend;
 import mulleinfront.proxy.Upstream;
-import quartzspan.crossing.Crossing;
-import quartzspan.customhouse.Customhouse;
-import quartzspan.manifest.Manifest;
-import quartzspan.papers.Settings;
+import quartzspan.common.Settings;
+import quartzspan.configuration.Configuration;
+import quartzspan.controlplane.ControlPlane;
+import quartzspan.frontend.FrontendProxy;
 
 /**
  * For the build: starts a core machine, a proxy and a stand-in server on loopback in one process, carries a few requests and
@@ -40,7 +40,7 @@
             + "\"services\":[{\"name\":\"s\",\"max_connections\":60,\"engine\":{\"capacity\":8,\"models\":"
             + "[{\"name\":\"m\"}]}}],\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k\"]}]}";
 
-    private Main() { }
+    private Main() {}
 
     /**
      * Without arguments all is made up; with one, a folder, settings are read from its {@code core.yaml} and
@@ -48,17 +48,29 @@
      * not carry its requests.
      */
     public static void main(String[] args) throws Exception {
-        Path folder = Files.createTempDirectory("rehearsal");
+        Path folder = Files.createTempDirectory("local-run");
         try {
             if (args.length == 0) {
                 int[] ports = ports(5);
                 // A machine's internal port is the same everywhere; two processes on one address need two.
-                rehearse(Settings.parse(settings("core", "control_plane: \"127.0.0.1:" + ports[0] + "\"", ports[1], ports[0],
-                        "\"" + folder + "\"")), Settings.parse(settings("proxy", "frontend: \"127.0.0.1:" + ports[2]
-                        + "\"\n  readiness: \"127.0.0.1:" + ports[3] + "\"", ports[4], ports[0], "null")), CONFIGURATION);
+                carryRequests(
+                        Settings.parse(settings(
+                                "core",
+                                "control_plane: \"127.0.0.1:" + ports[0] + "\"",
+                                ports[1],
+                                ports[0],
+                                "\"" + folder + "\"")),
+                        Settings.parse(settings(
+                                "proxy",
+                                "frontend: \"127.0.0.1:" + ports[2] + "\"\n  readiness: \"127.0.0.1:" + ports[3] + "\"",
+                                ports[4],
+                                ports[0],
+                                "null")),
+                        CONFIGURATION);
             } else {
                 Path from = Path.of(args[0]);
-                rehearse(Settings.parse(Files.readString(from.resolve("core.yaml"))),
+                carryRequests(
+                        Settings.parse(Files.readString(from.resolve("core.yaml"))),
                         Settings.parse(Files.readString(from.resolve("proxy.yaml"))),
                         Files.readString(from.resolve("configuration.json")));
             }
@@ -70,29 +82,42 @@
         System.exit(0);
     }
 
-    private static void rehearse(Settings core, Settings proxy, String config) throws Exception {
+    private static void carryRequests(Settings core, Settings proxy, String config) throws Exception {
         InetSocketAddress control = core.listens("control_plane");
         InetSocketAddress front = proxy.listens("frontend");
-        Customhouse house = Customhouse.start(core);
-        Crossing crossing = Crossing.start(proxy, core.internal().getHostString() + ':' + core.internal().getPort());
+        ControlPlane house = ControlPlane.start(core);
+        FrontendProxy frontend = FrontendProxy.start(
+                proxy, core.internal().getHostString() + ':' + core.internal().getPort());
         int server = server();
-        long base = Manifest.read(body(until(() -> call(control, "GET /quartzspan/Configuration.Describe", "", ""), " 200 ")))
+        long base = Configuration.read(
+                        body(until(() -> call(control, "GET /quartzspan/Configuration.Describe", "", ""), " 200 ")))
                 .version();
         if (base == 0) {
-            until(() -> call(control, "POST /quartzspan/Configuration.Replace", "X-Base-Version: 0\r\n", config), " 200 ");
+            until(
+                    () -> call(control, "POST /quartzspan/Configuration.Replace", "X-Base-Version: 0\r\n", config),
+                    " 200 ");
         }
         String beat = "{\"service\":\"s\",\"address\":\"127.0.0.1:" + server + "\",\"zone\":\"z\",\"capacity\":8,"
                 + "\"state\":\"ready\",\"models\":[{\"name\":\"m\",\"version\":1}],\"call_count\":1}";
         until(() -> call(control, "POST /quartzspan/Instances.Heartbeat/i-" + server, "", beat), " 200 ");
         until(() -> call(proxy.listens("readiness"), "GET /quartzspan/readiness", "", ""), " 200 ");
         for (int i = 0; i < REQUESTS; i++) {
-            until(() -> call(front, "POST /a/b", "Host: h.example\r\nX-Attempt-Id: 1\r\nX-Deadline-Ms: 2000\r\n"
-                    + "X-Model: m\r\nX-Token-Count: 30,4\r\nX-Prompt-Prefix: 1a:10,2b:10,3c:10\r\n"
-                    + "Authorization: Token k\r\n", "ask"), BODY);
+            until(
+                    () -> call(
+                            front,
+                            "POST /a/b",
+                            "Host: h.example\r\nX-Attempt-Id: 1\r\nX-Deadline-Ms: 2000\r\n"
+                                    + "X-Model: m\r\nX-Token-Count: 30,4\r\nX-Prompt-Prefix: 1a:10,2b:10,3c:10\r\n"
+                                    + "Authorization: Token k\r\n",
+                            "ask"),
+                    BODY);
         }
         System.out.println(REQUESTS + " requests carried by " + proxy.nodeName() + " to i-" + server + ", version "
-                + Math.max(base, Manifest.read(config.getBytes(StandardCharsets.UTF_8)).version()) + " in force");
-        crossing.stop();
+                + Math.max(
+                        base,
+                        Configuration.read(config.getBytes(StandardCharsets.UTF_8))
+                                .version()) + " in force");
+        frontend.stop();
         house.stop();
     }
 
@@ -101,8 +126,10 @@
     }
 
     private static String settings(String name, String listen, int internal, int seed, String folder) {
-        return "node_name: \"" + name + "\"\nip_address: \"127.0.0.1\"\nzone: \"z\"\nzones:\n  z: \"r\"\nlisten_addresses:\n  "
-                + listen + "\ninternal_ports:\n  - " + internal + "\n  - " + internal + "\nseed_nodes:\n  - \"127.0.0.1:" + seed
+        return "node_name: \"" + name
+                + "\"\nip_address: \"127.0.0.1\"\nzone: \"z\"\nzones:\n  z: \"r\"\nlisten_addresses:\n  "
+                + listen + "\ninternal_ports:\n  - " + internal + "\n  - " + internal
+                + "\nseed_nodes:\n  - \"127.0.0.1:" + seed
                 + "\"\nbootstrap: true\nlimits:\n  memory_mb: 256\n  file_descriptors: 1024\ndata_directory: " + folder
                 + "\nheartbeat_ms: 1200\nbounds:\n  strict_revocation: true\n  grace_period_s: 1\n";
     }
@@ -124,24 +151,32 @@
     private static int server() throws Exception {
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         EventLoop loop = group.next();
-        Frontend frontend = loop.submit(() -> new Frontend(new Frontend.Desk() {
-            @Override
-            public long now() {
-                return System.nanoTime() / 1000;
-            }
+        Frontend frontend = loop.submit(() -> new Frontend(
+                        new Frontend.Desk() {
+                            @Override
+                            public long now() {
+                                return System.nanoTime() / 1000;
+                            }
 
-            @Override
-            public void take(Frontend.Client client, HttpRequest in, byte[] body, long at) {
-                client.answer(HttpResponseStatus.OK, new Upstream.Answer(BODY.getBytes(StandardCharsets.UTF_8),
-                        "text/event-stream", null), 0);
-            }
+                            @Override
+                            public void take(Frontend.Client client, HttpRequest in, byte[] body, long at) {
+                                client.answer(
+                                        HttpResponseStatus.OK,
+                                        new Upstream.Answer(
+                                                BODY.getBytes(StandardCharsets.UTF_8), "text/event-stream", null),
+                                        0);
+                            }
 
-            @Override
-            public Frontend.Terms terms() {
-                return new Frontend.Terms(64, 16 * 1024, 64 * 1024, 30_000, 30_000);
-            }
-        }, loop)).get();
-        loop.submit(() -> frontend.listen(new InetSocketAddress("127.0.0.1", 0))).get().await();
+                            @Override
+                            public Frontend.Terms terms() {
+                                return new Frontend.Terms(64, 16 * 1024, 64 * 1024, 30_000, 30_000);
+                            }
+                        },
+                        loop))
+                .get();
+        loop.submit(() -> frontend.listen(new InetSocketAddress("127.0.0.1", 0)))
+                .get()
+                .await();
         return frontend.port();
     }
 
@@ -162,15 +197,16 @@
             }
             Thread.sleep(30);
         }
-        throw new IllegalStateException("the rehearsal got: " + last);
+        throw new IllegalStateException("the local run got: " + last);
     }
 
     private static String call(InetSocketAddress to, String line, String headers, String body) throws IOException {
         try (Socket s = new Socket(to.getAddress(), to.getPort())) {
             s.setSoTimeout(5_000);
-            s.getOutputStream().write((line + " HTTP/1.1\r\n" + (headers.contains("Host:") ? "" : "Host: c\r\n") + headers
-                    + "Content-Length: " + body.length() + "\r\nConnection: close\r\n\r\n" + body)
-                    .getBytes(StandardCharsets.UTF_8));
+            s.getOutputStream()
+                    .write((line + " HTTP/1.1\r\n" + (headers.contains("Host:") ? "" : "Host: c\r\n") + headers
+                                    + "Content-Length: " + body.length() + "\r\nConnection: close\r\n\r\n" + body)
+                            .getBytes(StandardCharsets.UTF_8));
             ByteArrayOutputStream all = new ByteArrayOutputStream();
             try (InputStream in = s.getInputStream()) {
                 in.transferTo(all);
--- a/src/main/java/quartzspan/warehouse/Watch.java
+++ b/src/main/java/quartzspan/promptindex/KvEventFollower.java
@@ -1,4 +1,4 @@
-package quartzspan.warehouse;
+package quartzspan.promptindex;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -7,9 +7,10 @@
  * Follows what one server keeps, by its events, and by its list where events were missed. No clock, no I/O: it says what to
  * ask, is told the answer, and says what is news. Times are milliseconds of a steady clock.
  */
-public final class Watch {
+public final class KvEventFollower {
     /** Time between calls: each that comes back at once costs the server as much as a health check. */
     private static final long PACE_MS = 450;
+
     private static final long AGAIN_MS = 700;
     /** Failures in a row after which nothing it keeps is of use. */
     private static final int FAILURES = 2;
@@ -17,10 +18,14 @@
     private static final long LIST_MS = 3_000;
 
     /** What to ask the server for. */
-    public enum Ask { NOTHING, EVENTS, LIST }
+    public enum Ask {
+        NOTHING,
+        EVENTS,
+        LIST
+    }
 
     /** A change of what is kept, as the server says it. */
-    public record Event(String salt, String id, int tokens, String model) { }
+    public record Event(String salt, String id, int tokens, String model) {}
 
     private final String server;
     private final long stream;
@@ -34,7 +39,7 @@
     private long nextAt;
     private long listedAt = Long.MIN_VALUE / 2;
 
-    public Watch(String server, long stream) {
+    public KvEventFollower(String server, long stream) {
         this.server = server;
         this.stream = stream;
     }
@@ -58,7 +63,7 @@
     }
 
     /** The question failed; the report it makes. One that does not answer is no source to fetch from. */
-    public List<Consignment> failed(long now) {
+    public List<PromptIndexUpdate> failed(long now) {
         asking = false;
         nextAt = now + AGAIN_MS;
         if (!begun || ++failures < FAILURES) {
@@ -67,32 +72,32 @@
         begun = false;
         mustList = false;
         since = 0;
-        return List.of(report(Consignment.Kind.WHOLE, List.of()));
+        return List.of(report(PromptIndexUpdate.Kind.WHOLE, List.of()));
     }
 
     /** Events came; the reports they make. */
-    public List<Consignment> events(long now, long itsEpoch, long next, boolean lost, List<Event> events) {
+    public List<PromptIndexUpdate> events(long now, long itsEpoch, long next, boolean lost, List<Event> events) {
         asking = false;
         failures = 0;
         nextAt = now + PACE_MS;
-        List<Consignment> out = new ArrayList<>(2);
+        List<PromptIndexUpdate> out = new ArrayList<>(2);
         if (!begun || itsEpoch != epoch) {
             // A new life keeps nothing yet, and tells its events from the first one on.
             mustList = begun && since > 0 || lost;
             begun = true;
             epoch = itsEpoch;
-            out.add(report(Consignment.Kind.WHOLE, List.of()));
+            out.add(report(PromptIndexUpdate.Kind.WHOLE, List.of()));
         }
         mustList |= lost;
         since = next;
         if (!events.isEmpty()) {
-            out.add(report(Consignment.Kind.NEWS, events));
+            out.add(report(PromptIndexUpdate.Kind.NEWS, events));
         }
         return out;
     }
 
     /** The list came; the report it makes. */
-    public Consignment list(long now, long itsEpoch, long next, List<Event> held) {
+    public PromptIndexUpdate list(long now, long itsEpoch, long next, List<Event> held) {
         asking = false;
         failures = 0;
         mustList = false;
@@ -100,17 +105,17 @@
         nextAt = now + PACE_MS;
         epoch = itsEpoch;
         since = next;
-        return report(Consignment.Kind.WHOLE, held);
+        return report(PromptIndexUpdate.Kind.WHOLE, held);
     }
 
-    private Consignment report(Consignment.Kind kind, List<Event> events) {
-        long[] parts = new long[Math.min(Consignment.MOST, events.size())];
+    private PromptIndexUpdate report(PromptIndexUpdate.Kind kind, List<Event> events) {
+        long[] parts = new long[Math.min(PromptIndexUpdate.MOST, events.size())];
         int[] tokens = new int[parts.length];
         for (int i = 0; i < parts.length; i++) {
             Event e = events.get(i);
-            parts[i] = Stock.part(e.salt(), e.id(), e.model());
+            parts[i] = PromptIndex.part(e.salt(), e.id(), e.model());
             tokens[i] = e.tokens();
         }
-        return new Consignment(kind, server, stream, ++seq, parts, tokens);
+        return new PromptIndexUpdate(kind, server, stream, ++seq, parts, tokens);
     }
 }
--- a/src/main/java/quartzspan/warehouse/Stock.java
+++ b/src/main/java/quartzspan/promptindex/PromptIndex.java
@@ -1,31 +1,36 @@
-package quartzspan.warehouse;
+package quartzspan.promptindex;
 
 import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.HashMap;
 import java.util.Map;
 
 /**
- * The index of kept prompts: which server keeps how much of which part. Fed by consignments; what is missed shows by their
+ * The index of kept prompts: which server keeps how much of which part. Fed by updates; what is missed shows by their
  * numbers and is asked for whole. It may always be a little wrong: what it says is where to look, never what may be used.
  */
-public final class Stock {
-    private static final class Shelf {
+public final class PromptIndex {
+    private static final class ServerParts {
         long stream;
         long seq;
         final Map<Long, Integer> parts = new HashMap<>();
     }
 
-    private final Map<String, Shelf> shelves = new HashMap<>();
+    private final Map<String, ServerParts> servers = new HashMap<>();
 
     /** The name of a part: what it is kept under, its id and its model, hashed. */
     public static long part(String salt, String id, String model) {
-        return Hashing.xxh3_64().hashStream().putString(salt).putString(id).putString(model).getAsLong();
+        return Hashing.xxh3_64()
+                .hashStream()
+                .putString(salt)
+                .putString(id)
+                .putString(model)
+                .getAsLong();
     }
 
     /** Takes a report; whether the whole must be asked for, since something is missing before it. */
-    public boolean take(Consignment c) {
-        Shelf s = shelves.computeIfAbsent(c.server(), k -> new Shelf());
-        if (c.kind() == Consignment.Kind.WHOLE) {
+    public boolean take(PromptIndexUpdate c) {
+        ServerParts s = servers.computeIfAbsent(c.server(), k -> new ServerParts());
+        if (c.kind() == PromptIndexUpdate.Kind.WHOLE) {
             if (c.stream() == s.stream && c.seq() < s.seq) {
                 return false;
             }
@@ -43,7 +48,7 @@
         return false;
     }
 
-    private static void put(Shelf s, long part, int tokens) {
+    private static void put(ServerParts s, long part, int tokens) {
         if (tokens > 0) {
             s.parts.put(part, tokens);
         } else {
@@ -53,16 +58,16 @@
 
     /** What this process saw itself: a server has read a part. */
     public void saw(String server, long part, int tokens) {
-        put(shelves.computeIfAbsent(server, k -> new Shelf()), part, tokens);
+        put(servers.computeIfAbsent(server, k -> new ServerParts()), part, tokens);
     }
 
     /** All that is known of a server; null if nothing is. */
-    public Consignment whole(String server) {
-        Shelf s = shelves.get(server);
+    public PromptIndexUpdate whole(String server) {
+        ServerParts s = servers.get(server);
         if (s == null) {
             return null;
         }
-        int n = Math.min(Consignment.MOST, s.parts.size());
+        int n = Math.min(PromptIndexUpdate.MOST, s.parts.size());
         long[] parts = new long[n];
         int[] tokens = new int[n];
         int i = 0;
@@ -73,12 +78,12 @@
             parts[i] = e.getKey();
             tokens[i++] = e.getValue();
         }
-        return new Consignment(Consignment.Kind.WHOLE, server, s.stream, s.seq, parts, tokens);
+        return new PromptIndexUpdate(PromptIndexUpdate.Kind.WHOLE, server, s.stream, s.seq, parts, tokens);
     }
 
     /** Whether anything was ever reported of a server: it is there and answers. */
     public boolean knows(String server) {
-        Shelf s = shelves.get(server);
+        ServerParts s = servers.get(server);
         return s != null && s.seq > 0;
     }
 
@@ -89,12 +94,12 @@
 
     /** A server is gone. */
     public void forget(String server) {
-        shelves.remove(server);
+        servers.remove(server);
     }
 
     /** Tokens that a server keeps of a prompt: of its parts in order, as far as all before are kept whole. */
     public long kept(String server, long[] parts, long[] tokens) {
-        Shelf s = shelves.get(server);
+        ServerParts s = servers.get(server);
         long sum = 0;
         if (s != null) {
             for (int i = 0; i < parts.length; i++) {
@@ -111,6 +116,6 @@
 
     /** Parts known, over all servers. */
     public int size() {
-        return shelves.values().stream().mapToInt(s -> s.parts.size()).sum();
+        return servers.values().stream().mapToInt(s -> s.parts.size()).sum();
     }
 }
--- a/src/main/java/quartzspan/roster/Spread.java
+++ b/src/main/java/quartzspan/registry/Gossip.java
@@ -1,4 +1,4 @@
-package quartzspan.roster;
+package quartzspan.registry;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -9,11 +9,12 @@
 /**
  * How what one process knows gets to the others, without clock or I/O: news go at once to a few, who pass on what was news to
  * them; questions that carry digests find what was missed; and answers say how fresh the control state is. Who "the few"
- * are, rendezvous hashing says ({@link Roster#few}).
+ * are, rendezvous hashing says ({@link Registry#few}).
  */
-public final class Spread {
+public final class Gossip {
     /** Time between questions to the core, and to other proxies. */
     private static final long CORE_MS = 250;
+
     private static final long PEER_MS = 500;
     /** A question not answered in this time counts against whom it was put to. */
     private static final long PATIENCE_MS = 400;
@@ -21,36 +22,38 @@
     private static final long STALE_MS = 900;
     /** Who asked within this time is sent news at once. */
     private static final long ASKED_MS = 1_500;
+
     private static final int PEERS = 3;
 
     /** Where messages go. */
     public interface Out {
-        void send(String to, Tidings tidings);
+        void send(String to, GossipMessage message);
     }
 
-    private record Asked(String to, long at) { }
+    private record Asked(String to, long at) {}
 
     private final String self;
     private final boolean core;
     private List<String> seeds;
-    private final Roster roster;
+    private final Registry registry;
     private final Out out;
     private final Map<Long, Asked> open = new LinkedHashMap<>();
     private final Map<String, Long> askers = new HashMap<>();
     private final Map<Long, Runnable> receipts = new HashMap<>();
     /** How often in a row a core machine left a question without a good answer. */
     private final Map<String, Integer> poor = new HashMap<>();
+
     private long nonce;
     private long coreAt;
     private long peerAt;
     private int turn;
 
     /** @param seeds internal addresses of core machines to begin with */
-    public Spread(String self, boolean core, List<String> seeds, Roster roster, Out out) {
+    public Gossip(String self, boolean core, List<String> seeds, Registry registry, Out out) {
         this.self = self;
         this.core = core;
         this.seeds = seeds;
-        this.roster = roster;
+        this.registry = registry;
         this.out = out;
     }
 
@@ -62,23 +65,25 @@
     /** The core machines known, best first. */
     public List<String> cores() {
         List<String> all = new ArrayList<>(seeds);
-        for (Fact f : roster.all(Fact.Subject.CORE)) {
-            if (f.state() == Fact.State.READY && !all.contains(f.key())) {
+        for (RegistryEntry f : registry.all(RegistryEntry.Subject.CORE)) {
+            if (f.state() == RegistryEntry.State.READY && !all.contains(f.key())) {
                 all.add(f.key());
-            } else if (f.state() == Fact.State.GONE) {
+            } else if (f.state() == RegistryEntry.State.GONE) {
                 all.remove(f.key());
             }
         }
-        List<String> ranked = new ArrayList<>(Roster.few(self, all, all.size()));
+        List<String> ranked = new ArrayList<>(Registry.few(self, all, all.size()));
         ranked.sort((a, b) -> poor.getOrDefault(a, 0) - poor.getOrDefault(b, 0));
         return ranked;
     }
 
     /** The few other proxies that this process knows. */
     public List<String> peers() {
-        List<String> proxies = roster.all(Fact.Subject.PROXY).stream().filter(f -> f.state() == Fact.State.READY)
-                .map(Fact::key).toList();
-        return Roster.few(self, proxies, PEERS);
+        List<String> proxies = registry.all(RegistryEntry.Subject.PROXY).stream()
+                .filter(f -> f.state() == RegistryEntry.State.READY)
+                .map(RegistryEntry::key)
+                .toList();
+        return Registry.few(self, proxies, PEERS);
     }
 
     /** To be called every 50 ms; {@code leader}: on a core machine, who is primary, if known and not itself. */
@@ -118,16 +123,16 @@
 
     private void ask(long now, String to) {
         open.put(++nonce, new Asked(to, now));
-        out.send(to, roster.ask(now, nonce));
+        out.send(to, registry.ask(now, nonce));
     }
 
     /** Something came; the news in it have been passed on already. */
-    public Roster.News onTidings(long now, String from, Tidings in) {
+    public Registry.News onGossip(long now, String from, GossipMessage in) {
         long askedAt = now;
         switch (in.kind()) {
             case ASK -> {
                 askers.put(from, now);
-                out.send(from, roster.answer(now, in));
+                out.send(from, registry.answer(now, in));
             }
             case ANSWER -> {
                 Asked asked = open.remove(in.nonce());
@@ -145,12 +150,21 @@
             }
             default -> {
                 if (in.nonce() != 0) {
-                    out.send(from, new Tidings(Tidings.Kind.ANSWER, in.nonce(), -1, -1, -1, Tidings.UNCOMPARED, List.of(),
-                            Tidings.NOTHING));
+                    out.send(
+                            from,
+                            new GossipMessage(
+                                    GossipMessage.Kind.ANSWER,
+                                    in.nonce(),
+                                    -1,
+                                    -1,
+                                    -1,
+                                    GossipMessage.UNCOMPARED,
+                                    List.of(),
+                                    GossipMessage.NOTHING));
                 }
             }
         }
-        Roster.News news = roster.take(now, in, askedAt);
+        Registry.News news = registry.take(now, in, askedAt);
         if (news.any()) {
             tell(now, news, from);
         }
@@ -158,14 +172,23 @@
     }
 
     /** What the one who answered does not have, or has older. */
-    private void sendLacking(long now, String to, Tidings in) {
-        if (in.buckets().length != Roster.BUCKETS) {
+    private void sendLacking(long now, String to, GossipMessage in) {
+        if (in.buckets().length != Registry.BUCKETS) {
             return;
         }
-        Tidings mine = roster.answer(now, in);
-        if (!mine.facts().isEmpty() || mine.ledger().length > 0) {
-            out.send(to, new Tidings(Tidings.Kind.NEWS, 0, -1, mine.ledgerEpoch(), mine.ledgerIndex(),
-                    Tidings.UNCOMPARED, mine.facts(), mine.ledger()));
+        GossipMessage mine = registry.answer(now, in);
+        if (!mine.entries().isEmpty() || mine.controlState().length > 0) {
+            out.send(
+                    to,
+                    new GossipMessage(
+                            GossipMessage.Kind.NEWS,
+                            0,
+                            -1,
+                            mine.stateEpoch(),
+                            mine.stateIndex(),
+                            GossipMessage.UNCOMPARED,
+                            mine.entries(),
+                            mine.controlState()));
         }
     }
 
@@ -175,10 +198,10 @@
     }
 
     /** Passes news on: to the few this process knows, to who asked it of late, and between core machines to all. */
-    public void tell(long now, Roster.News news, String not) {
+    public void tell(long now, Registry.News news, String not) {
         List<String> to = new ArrayList<>(askers.keySet());
         (core ? cores() : peers()).stream().filter(p -> !to.contains(p)).forEach(to::add);
-        Tidings t = roster.news(now, news.facts(), news.ledger());
+        GossipMessage t = registry.news(now, news.entries(), news.state());
         for (String p : to) {
             if (!p.equals(not) && !p.equals(self)) {
                 out.send(p, t);
@@ -187,14 +210,23 @@
     }
 
     /** Tells news, and says when the first other core machine has them: then they outlive this process. */
-    public void tellSurely(long now, Roster.News news, Runnable known) {
+    public void tellSurely(long now, Registry.News news, Runnable known) {
         tell(now, news, null);
         long receipt = ++nonce;
         receipts.put(receipt, known);
-        Tidings t = roster.news(now, news.facts(), false);
+        GossipMessage t = registry.news(now, news.entries(), false);
         for (String c : cores()) {
-            out.send(c, new Tidings(t.kind(), receipt, t.ageMs(), t.ledgerEpoch(), t.ledgerIndex(), t.buckets(), t.facts(),
-                    t.ledger()));
+            out.send(
+                    c,
+                    new GossipMessage(
+                            t.kind(),
+                            receipt,
+                            t.ageMs(),
+                            t.stateEpoch(),
+                            t.stateIndex(),
+                            t.buckets(),
+                            t.entries(),
+                            t.controlState()));
         }
         if (receipts.size() > 4096) {
             receipts.clear();
--- a/src/main/java/quartzspan/roster/Fact.java
+++ b/src/main/java/quartzspan/registry/RegistryEntry.java
@@ -1,4 +1,4 @@
-package quartzspan.roster;
+package quartzspan.registry;
 
 /**
  * Something that all processes are to know. Of two about one key the one with the higher {@code seq} holds, and of equal ones
@@ -6,16 +6,28 @@
  *
  * @param text what is known of it; see {@link Server} for servers
  */
-public record Fact(Subject subject, String key, long seq, State state, String text) {
+public record RegistryEntry(Subject subject, String key, long seq, State state, String text) {
     /** Kinds of things; their keys are instance ids of servers, and internal addresses of the system's own processes. */
-    public enum Subject { SERVER, CORE, PROXY }
+    public enum Subject {
+        SERVER,
+        CORE,
+        PROXY
+    }
 
     /** {@code LOST} may come back with a higher {@code seq}; {@code GONE} never does. */
-    public enum State { READY, DRAINING, LOST, GONE }
+    public enum State {
+        READY,
+        DRAINING,
+        LOST,
+        GONE
+    }
 
-    boolean beats(Fact other) {
-        return other == null || other.state != State.GONE
-                && (state == State.GONE || seq > other.seq || seq == other.seq && state.compareTo(other.state) > 0);
+    boolean beats(RegistryEntry other) {
+        return other == null
+                || other.state != State.GONE
+                        && (state == State.GONE
+                                || seq > other.seq
+                                || seq == other.seq && state.compareTo(other.state) > 0);
     }
 
     long digest() {
--- a/src/main/java/quartzspan/docket/Ledger.java
+++ b/src/main/java/quartzspan/replication/ControlState.java
@@ -1,4 +1,4 @@
-package quartzspan.docket;
+package quartzspan.replication;
 
 import com.dynatrace.hash4j.hashing.Hashing;
 import jakarta.json.JsonObject;
@@ -11,23 +11,24 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.TreeMap;
-import quartzspan.manifest.Manifest;
-import quartzspan.papers.Refusal;
+import quartzspan.common.FleetException;
+import quartzspan.configuration.Configuration;
 
 /** The control state, as a value: the configuration in force, what was taken under each version, and the weights named. */
-public final class Ledger {
+public final class ControlState {
     /** Versions whose sender may still send them again. */
     private static final int REMEMBERED = 512;
     /** Before the first change. */
-    public static final Ledger EMPTY = new Ledger(Manifest.NONE, new TreeMap<>(), new TreeMap<>(), "");
+    public static final ControlState EMPTY = new ControlState(Configuration.NONE, new TreeMap<>(), new TreeMap<>(), "");
 
-    private final Manifest manifest;
+    private final Configuration configuration;
     private final TreeMap<Long, Long> taken;
     private final TreeMap<String, Long> weights;
     private final String holder;
 
-    private Ledger(Manifest manifest, TreeMap<Long, Long> taken, TreeMap<String, Long> weights, String holder) {
-        this.manifest = manifest;
+    private ControlState(
+            Configuration configuration, TreeMap<Long, Long> taken, TreeMap<String, Long> weights, String holder) {
+        this.configuration = configuration;
         this.taken = taken;
         this.weights = weights;
         this.holder = holder;
@@ -35,11 +36,17 @@
 
     /** A change that an operator asks for; {@code base} is the version that it builds on. */
     public record Change(Kind kind, long base, byte[] body) {
-        public enum Kind { REPLACE, UPDATE, WEIGHTS, DUTY }
+        /** What is changed: the whole configuration, some items, named weights, or the holder of the weights duty. */
+        public enum Kind {
+            REPLACE,
+            UPDATE,
+            WEIGHTS,
+            DUTY
+        }
     }
 
-    public Manifest manifest() {
-        return manifest;
+    public Configuration configuration() {
+        return configuration;
     }
 
     /** Versions of weights that were named, by model. */
@@ -55,47 +62,57 @@
     /**
      * The state after a change; this very one if the change is in it already.
      *
-     * @throws Refusal if the change is invalid or builds on another version
+     * @throws FleetException if the change is invalid or builds on another version
      */
-    public Ledger with(Change change) {
+    public ControlState with(Change change) {
         if (change.kind() == Change.Kind.DUTY) {
             String name = new String(change.body(), StandardCharsets.UTF_8);
-            return name.equals(holder) ? this : new Ledger(manifest, taken, weights, name);
+            return name.equals(holder) ? this : new ControlState(configuration, taken, weights, name);
         }
-        JsonObject body = Manifest.json(change.body());
+        JsonObject body = Configuration.json(change.body());
         if (change.kind() == Change.Kind.WEIGHTS) {
             return named(body);
         }
-        long version = Manifest.whole(body, "version", -1);
-        long digest = Hashing.xxh3_64().hashStream().putLong(change.kind().ordinal()).putLong(change.base())
-                .putBytes(change.body()).getAsLong();
+        long version = Configuration.whole(body, "version", -1);
+        long digest = Hashing.xxh3_64()
+                .hashStream()
+                .putLong(change.kind().ordinal())
+                .putLong(change.base())
+                .putBytes(change.body())
+                .getAsLong();
         Long before = taken.get(version);
         if (before != null && before == digest) {
             return this;
         }
-        if (change.base() != manifest.version()) {
-            throw new Refusal(Refusal.Code.CONFIG_STALE, "version " + manifest.version() + " is in force, not "
-                    + change.base(), "read it with Configuration.Describe and build on it");
+        if (change.base() != configuration.version()) {
+            throw new FleetException(
+                    FleetException.Code.CONFIG_STALE,
+                    "version " + configuration.version() + " is in force, not " + change.base(),
+                    "read it with Configuration.Describe and build on it");
         }
-        if (version <= manifest.version()) {
-            throw new Refusal(Refusal.Code.CONFIG_INVALID, "version " + version + " is not above "
-                    + manifest.version(), "give the change a higher version");
+        if (version <= configuration.version()) {
+            throw new FleetException(
+                    FleetException.Code.CONFIG_INVALID,
+                    "version " + version + " is not above " + configuration.version(),
+                    "give the change a higher version");
         }
-        Manifest next = change.kind() == Change.Kind.REPLACE ? Manifest.read(change.body())
-                : manifest.updated(body);
+        Configuration next =
+                change.kind() == Change.Kind.REPLACE ? Configuration.read(change.body()) : configuration.updated(body);
         TreeMap<Long, Long> more = new TreeMap<>(taken);
         more.put(version, digest);
         while (more.size() > REMEMBERED) {
             more.pollFirstEntry();
         }
-        return new Ledger(next, more, weights, holder);
+        return new ControlState(next, more, weights, holder);
     }
 
-    private Ledger named(JsonObject body) {
+    private ControlState named(JsonObject body) {
         String model = body.getString("model", "");
-        long version = Manifest.whole(body, "version", 0);
+        long version = Configuration.whole(body, "version", 0);
         if (model.isEmpty() || version < 1) {
-            throw new Refusal(Refusal.Code.CONFIG_INVALID, "model or version is missing",
+            throw new FleetException(
+                    FleetException.Code.CONFIG_INVALID,
+                    "model or version is missing",
                     "send model as a text and version as a whole number from 1 up");
         }
         if (weights.getOrDefault(model, 0L) >= version) {
@@ -103,14 +120,14 @@
         }
         TreeMap<String, Long> more = new TreeMap<>(weights);
         more.put(model, version);
-        return new Ledger(manifest, taken, more, holder);
+        return new ControlState(configuration, taken, more, holder);
     }
 
     /** As written to disk and sent to copies. */
     public byte[] bytes() {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         try (DataOutputStream out = new DataOutputStream(bytes)) {
-            byte[] document = manifest.bytes();
+            byte[] document = configuration.bytes();
             out.writeInt(document.length);
             out.write(document);
             out.writeInt(taken.size());
@@ -131,13 +148,13 @@
     }
 
     /** Reads {@link #bytes}. */
-    public static Ledger parse(byte[] bytes) {
+    public static ControlState parse(byte[] bytes) {
         try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes))) {
             int length = in.readInt();
             if (length < 0 || length > bytes.length) {
                 throw unreadable(null);
             }
-            Manifest manifest = Manifest.read(in.readNBytes(length));
+            Configuration configuration = Configuration.read(in.readNBytes(length));
             TreeMap<Long, Long> taken = new TreeMap<>();
             for (int n = in.readInt(); n > 0; n--) {
                 taken.put(in.readLong(), in.readLong());
@@ -146,14 +163,16 @@
             for (int n = in.readInt(); n > 0; n--) {
                 weights.put(in.readUTF(), in.readLong());
             }
-            return new Ledger(manifest, taken, weights, in.readUTF());
+            return new ControlState(configuration, taken, weights, in.readUTF());
         } catch (IOException e) {
             throw unreadable(e);
         }
     }
 
-    private static Refusal unreadable(IOException why) {
-        return new Refusal(Refusal.Code.STORE_DAMAGED, "a control state can't be read" + (why == null ? "" : ": " + why),
+    private static FleetException unreadable(IOException why) {
+        return new FleetException(
+                FleetException.Code.STORE_DAMAGED,
+                "a control state can't be read" + (why == null ? "" : ": " + why),
                 "move the data directory aside and start again");
     }
 }
