--- a/src/main/java/quartzspan/docket/Docket.java
+++ b/src/main/java/quartzspan/replication/Replica.java
@@ -1,4 +1,4 @@
-package quartzspan.docket;
+package quartzspan.replication;
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -12,8 +12,8 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
-import quartzspan.docket.Ledger.Change;
-import quartzspan.papers.Refusal;
+import quartzspan.common.FleetException;
+import quartzspan.replication.ControlState.Change;
 
 /**
  * One core machine's part in keeping the control state, without clock, thread or I/O.
@@ -30,9 +30,10 @@
  *
  * <p>All times are milliseconds of a steady clock.
  */
-public final class Docket {
+public final class Replica {
     /** Time between beats, and between repeats of a question. */
     private static final long BEAT_MS = 150;
+
     private static final long AGAIN_MS = 250;
     /** A primary that has had no majority for so long is none; longer than a beat that was lost and one that was late. */
     private static final long ALONE_MS = 700;
@@ -40,6 +41,7 @@
     private static final long STICKY_MS = 500;
     /** Silence of the primary after which to stand for its place, and the most that chance adds. */
     private static final long SILENCE_MS = 700;
+
     private static final long SPREAD_MS = 500;
     /** Silence of a backup after which another takes its place. */
     private static final long BACKUP_MS = 600;
@@ -54,32 +56,41 @@
 
     /** What is kept for good: the tag of a record, then its fields. */
     static final byte VOTE = 'V';
+
     static final byte COPY = 'C';
 
     /** Where decisions go; called only from within an event. */
     public interface Out {
-        void send(String to, Letter letter);
+        void send(String to, ReplicaMessage message);
 
-        /** Keeps a record for good, in the order of the calls; {@link Docket#onPersisted} tells. */
+        /** Keeps a record for good, in the order of the calls; {@link Replica#onPersisted} tells. */
         void persist(long seq, byte[] record);
 
-        /** The answer to {@link Docket#change} or {@link Docket#confirm}; {@code why} is null if granted. */
-        void done(long ticket, Refusal why, Ledger ledger);
+        /** The answer to {@link Replica#change} or {@link Replica#confirm}; {@code why} is null if granted. */
+        void done(long ticket, FleetException why, ControlState state);
 
         /** The state that is in force here from now on; only a primary says so. */
-        void committed(long epoch, long index, Ledger ledger);
+        void committed(long epoch, long index, ControlState state);
     }
 
-    private enum Phase { FOLLOWING, SOUNDING, ASKING, FETCHING, COPYING, ACCEPTING, PRIMARY }
+    private enum Phase {
+        FOLLOWING,
+        SOUNDING,
+        ASKING,
+        FETCHING,
+        COPYING,
+        ACCEPTING,
+        PRIMARY
+    }
 
     private interface Then {
         void run(long now, boolean ok);
     }
 
-    private record Waiting(long ticket, Change change) { }
+    private record Waiting(long ticket, Change change) {}
 
     /** A question that a majority must confirm before its answer is given. */
-    private record Question(long ticket, long nonce, Refusal why) { }
+    private record Question(long ticket, long nonce, FleetException why) {}
 
     private final String self;
     private final int losses;
@@ -90,14 +101,16 @@
     private long promised;
     /** To whom the promised epoch was granted, if that was in this life: to ask again is no new question. */
     private String grantedTo;
+
     private View view = View.NONE;
     private boolean blank;
     /** The copy on this disk. */
     private long copyEpoch = -1;
+
     private long copyIndex = -1;
-    private Ledger ledger = Ledger.EMPTY;
+    private ControlState state = ControlState.EMPTY;
     /** The state as last answered: the copy may hold a change that the backups don't have yet. */
-    private Ledger inForce = Ledger.EMPTY;
+    private ControlState inForce = ControlState.EMPTY;
 
     private Phase phase = Phase.FOLLOWING;
     private long phaseAt;
@@ -106,21 +119,25 @@
     private long againAt;
     /** The time of the event at hand, for what its outcome starts. */
     private long last;
+
     private long seq;
     private final TreeMap<Long, Then> persisting = new TreeMap<>();
     private long oldestPersistAt;
-    private final Map<String, Letter> answers = new HashMap<>();
+    private final Map<String, ReplicaMessage> answers = new HashMap<>();
     /** Copies and votes of a candidature or a change that are on a disk. */
     private final Set<String> synced = new LinkedHashSet<>();
+
     private View next = View.NONE;
     private View before = View.NONE;
     private long nextIndex;
-    private Ledger nextLedger;
+    private ControlState nextState;
     /** Wanted voters of the next view; null to leave them. */
     private List<String> wantedVoters;
+
     private final Map<String, Long> lastHeard = new HashMap<>();
     /** Machines that stand by, with the time of their last word. */
     private final Map<String, Long> standing = new TreeMap<>();
+
     private final Map<String, long[]> copyOf = new HashMap<>();
 
     private long nonce;
@@ -140,7 +157,14 @@
      * @param found whether to found the system if nothing was kept
      * @param kept the records found on disk, oldest first; empty for none
      */
-    public Docket(String self, List<String> seeds, int losses, boolean found, List<byte[]> kept, long seed, long now,
+    public Replica(
+            String self,
+            List<String> seeds,
+            int losses,
+            boolean found,
+            List<byte[]> kept,
+            long seed,
+            long now,
             Out out) {
         this.self = self;
         this.seeds = new LinkedHashSet<>(seeds);
@@ -149,18 +173,19 @@
         this.out = out;
         last = now;
         kept.forEach(this::recall);
-        inForce = ledger;
+        inForce = state;
         if (view.epoch() < 0) {
             // Founding is a function of the settings alone: whoever does it, and however often, founds the same.
             List<String> founders = seeds.stream().distinct().sorted().toList();
             if (found && founders.contains(self)) {
-                view = new View(0, founders.get(0), founders.subList(0, Math.min(losses + 1, founders.size())), founders);
+                view = new View(
+                        0, founders.get(0), founders.subList(0, Math.min(losses + 1, founders.size())), founders);
                 if (view.copies().contains(self)) {
                     copyEpoch = 0;
                     copyIndex = 0;
-                    persist(copyRecord(0, 0, ledger), (at, ok) -> { });
+                    persist(copyRecord(0, 0, state), (at, ok) -> {});
                 }
-                persistVote(now, ok -> { });
+                persistVote(now, ok -> {});
             } else {
                 blank = true;
             }
@@ -190,14 +215,22 @@
 
     /** What this machine does at present, in a word. */
     public String role() {
-        return blank ? "BLANK" : !view.voters().contains(self) ? "STANDBY" : phase == Phase.FOLLOWING
-                ? view.copies().contains(self) ? "BACKUP" : "WITNESS" : phase.name();
+        return blank
+                ? "BLANK"
+                : !view.voters().contains(self)
+                        ? "STANDBY"
+                        : phase == Phase.FOLLOWING ? view.copies().contains(self) ? "BACKUP" : "WITNESS" : phase.name();
     }
 
     /** Who is primary, as far as heard of late; null if unknown. */
     public String leader(long now) {
-        return primary() ? self : now - heardAt < ALONE_MS && !view.primary().isEmpty() && !view.primary().equals(self)
-                ? view.primary() : null;
+        return primary()
+                ? self
+                : now - heardAt < ALONE_MS
+                                && !view.primary().isEmpty()
+                                && !view.primary().equals(self)
+                        ? view.primary()
+                        : null;
     }
 
     /** The latest time at which this primary's state was surely the newest; far in the past if it is not primary. */
@@ -213,7 +246,7 @@
         return copyIndex;
     }
 
-    public Ledger ledger() {
+    public ControlState state() {
         return inForce;
     }
 
@@ -234,7 +267,7 @@
         question(now, ticket, null);
     }
 
-    private void question(long now, long ticket, Refusal why) {
+    private void question(long now, long ticket, FleetException why) {
         if (!primary()) {
             out.done(ticket, notPrimary(), null);
             return;
@@ -244,8 +277,10 @@
         confirmed(now);
     }
 
-    private static Refusal notPrimary() {
-        return new Refusal(Refusal.Code.NOT_PRIMARY, "this machine doesn't decide at present",
+    private static FleetException notPrimary() {
+        return new FleetException(
+                FleetException.Code.NOT_PRIMARY,
+                "this machine doesn't decide at present",
                 "ask another machine of the core, or again in a moment");
     }
 
@@ -257,8 +292,9 @@
         if (blank || !view.voters().contains(self)) {
             if (now >= againAt) {
                 againAt = now + AGAIN_MS;
-                known().forEach(to -> out.send(to, Letter.of(Letter.Kind.RECALL, 0, view)
-                        .says(true, promised, blank)));
+                known().forEach(to -> out.send(
+                        to,
+                        ReplicaMessage.of(ReplicaMessage.Kind.RECOVERY, 0, view).says(true, promised, blank)));
             }
             if (blank) {
                 return;
@@ -270,7 +306,9 @@
         switch (phase) {
             case PRIMARY -> lead(now);
             case FOLLOWING -> {
-                if (now >= standAfter && now - heardAt >= SILENCE_MS && view.voters().contains(self)
+                if (now >= standAfter
+                        && now - heardAt >= SILENCE_MS
+                        && view.voters().contains(self)
                         && persisting.isEmpty()) {
                     sound(now);
                 }
@@ -290,18 +328,21 @@
         againAt = now + AGAIN_MS;
         switch (phase) {
             case SOUNDING, ASKING -> {
-                Letter.Kind kind = phase == Phase.SOUNDING ? Letter.Kind.SOUND : Letter.Kind.ASK;
+                ReplicaMessage.Kind kind =
+                        phase == Phase.SOUNDING ? ReplicaMessage.Kind.PRE_VOTE : ReplicaMessage.Kind.VOTE;
                 for (String v : electors()) {
                     if (!answers.containsKey(v) && !v.equals(self)) {
-                        out.send(v, Letter.of(kind, next.epoch(), view));
+                        out.send(v, ReplicaMessage.of(kind, next.epoch(), view));
                     }
                 }
             }
-            case COPYING -> next.copies().stream().filter(c -> !synced.contains(c) && !c.equals(self))
-                    .forEach(c -> out.send(c, copyLetter(next.epoch(), nextIndex, nextLedger)));
-            case ACCEPTING -> acceptors().stream().filter(v -> !synced.contains(v) && !v.equals(self))
-                    .forEach(v -> out.send(v, Letter.of(Letter.Kind.ACCEPT, next.epoch(), next)));
-            default -> { }
+            case COPYING -> next.copies().stream()
+                    .filter(c -> !synced.contains(c) && !c.equals(self))
+                    .forEach(c -> out.send(c, copyMessage(next.epoch(), nextIndex, nextState)));
+            case ACCEPTING -> acceptors().stream()
+                    .filter(v -> !synced.contains(v) && !v.equals(self))
+                    .forEach(v -> out.send(v, ReplicaMessage.of(ReplicaMessage.Kind.ACCEPT, next.epoch(), next)));
+            default -> {}
         }
     }
 
@@ -349,7 +390,10 @@
         answers.clear();
         before = view;
         next = new View(promised + 1, self, List.of(), List.of());
-        answers.put(self, Letter.of(Letter.Kind.SOUNDED, next.epoch(), view).says(true, promised, false));
+        answers.put(
+                self,
+                ReplicaMessage.of(ReplicaMessage.Kind.PRE_VOTE_REPLY, next.epoch(), view)
+                        .says(true, promised, false));
         repeat(now);
         sounded(now);
     }
@@ -373,7 +417,10 @@
     }
 
     private boolean granted(View by) {
-        return by.voters().stream().filter(v -> answers.containsKey(v) && answers.get(v).ok()).count() >= by.majority();
+        return by.voters().stream()
+                        .filter(v -> answers.containsKey(v) && answers.get(v).ok())
+                        .count()
+                >= by.majority();
     }
 
     private void ask(long now) {
@@ -391,8 +438,11 @@
                     aside(last);
                     return;
                 }
-                answers.put(self, Letter.of(Letter.Kind.GRANTED, epoch, view).body(copyEpoch, copyIndex, new byte[0])
-                        .says(true, promised, false));
+                answers.put(
+                        self,
+                        ReplicaMessage.of(ReplicaMessage.Kind.VOTE_REPLY, epoch, view)
+                                .body(copyEpoch, copyIndex, new byte[0])
+                                .says(true, promised, false));
                 repeat(last);
                 asked(last);
             }
@@ -404,7 +454,7 @@
             return;
         }
         View latest = view;
-        for (Letter g : answers.values()) {
+        for (ReplicaMessage g : answers.values()) {
             if (g.ok() && g.view().epoch() > latest.epoch()) {
                 latest = g.view();
             }
@@ -418,9 +468,13 @@
         }
         String best = null;
         for (String c : latest.copies()) {
-            Letter g = answers.get(c);
-            if (g != null && g.ok() && g.copyEpoch() >= latest.epoch()
-                    && (best == null || newer(g, answers.get(best)) || c.equals(self) && !newer(answers.get(best), g))) {
+            ReplicaMessage g = answers.get(c);
+            if (g != null
+                    && g.ok()
+                    && g.copyEpoch() >= latest.epoch()
+                    && (best == null
+                            || newer(g, answers.get(best))
+                            || c.equals(self) && !newer(answers.get(best), g))) {
                 best = c;
             }
         }
@@ -428,27 +482,30 @@
             return;
         }
         if (best.equals(self)) {
-            spread(now, copyIndex, ledger);
+            spread(now, copyIndex, state);
         } else {
             step(Phase.FETCHING, now);
-            out.send(best, Letter.of(Letter.Kind.FETCH, next.epoch(), view));
+            out.send(best, ReplicaMessage.of(ReplicaMessage.Kind.FETCH, next.epoch(), view));
         }
     }
 
-    private static boolean newer(Letter a, Letter b) {
+    private static boolean newer(ReplicaMessage a, ReplicaMessage b) {
         return a.copyEpoch() > b.copyEpoch() || a.copyEpoch() == b.copyEpoch() && a.index() > b.index();
     }
 
     /** Brings what was fetched to the copies of the view to be. */
-    private void spread(long now, long index, Ledger state) {
+    private void spread(long now, long index, ControlState state) {
         step(Phase.COPYING, now);
         synced.clear();
         List<String> voters = wantedVoters != null ? wantedVoters : before.voters();
         List<String> copies = new ArrayList<>(List.of(self));
         // Who answers now, who has a copy already first: least is moved, and least waits.
-        List<String> able = new ArrayList<>(voters.stream().filter(v -> !v.equals(self)
-                && (answers.containsKey(v) && answers.get(v).ok() || standing.containsKey(v))).toList());
-        able.sort((a, b) -> Boolean.compare(before.copies().contains(b), before.copies().contains(a)));
+        List<String> able = new ArrayList<>(voters.stream()
+                .filter(v -> !v.equals(self)
+                        && (answers.containsKey(v) && answers.get(v).ok() || standing.containsKey(v)))
+                .toList());
+        able.sort((a, b) ->
+                Boolean.compare(before.copies().contains(b), before.copies().contains(a)));
         able.stream().limit(losses).forEach(copies::add);
         if (copies.size() < Math.min(losses + 1, voters.size())) {
             step(Phase.ASKING, phaseAt);
@@ -456,7 +513,7 @@
         }
         next = new View(next.epoch(), self, copies, voters);
         nextIndex = index + 1;
-        nextLedger = state;
+        nextState = state;
         View mine = next;
         persist(copyRecord(next.epoch(), nextIndex, state), (at, ok) -> {
             if (phase == Phase.COPYING && next == mine) {
@@ -512,7 +569,7 @@
         confirmedAt = Long.MIN_VALUE / 2;
         copyOf.clear();
         view.voters().forEach(v -> lastHeard.put(v, now));
-        inForce = ledger;
+        inForce = state;
         out.committed(copyEpoch, copyIndex, inForce);
         beat(now);
         write(now);
@@ -524,8 +581,9 @@
         if (now >= againAt) {
             beat(now);
             if (writing != null && now - writingAt > BEAT_MS) {
-                Letter copy = copyLetter(view.epoch(), nextIndex, nextLedger);
-                view.copies().stream().filter(c -> !synced.contains(c) && !c.equals(self))
+                ReplicaMessage copy = copyMessage(view.epoch(), nextIndex, nextState);
+                view.copies().stream()
+                        .filter(c -> !synced.contains(c) && !c.equals(self))
                         .forEach(c -> out.send(c, copy));
             }
         }
@@ -539,12 +597,20 @@
             return;
         }
         standing.values().removeIf(at -> now - at > BACKUP_MS);
-        String slow = writing == null ? null : view.copies().stream()
-                .filter(c -> !c.equals(self) && !synced.contains(c) && now - writingAt > BACKUP_MS).findFirst().orElse(null);
-        String silent = view.copies().stream().filter(c -> !c.equals(self) && quiet(c, now) > BACKUP_MS).findFirst()
+        String slow = writing == null
+                ? null
+                : view.copies().stream()
+                        .filter(c -> !c.equals(self) && !synced.contains(c) && now - writingAt > BACKUP_MS)
+                        .findFirst()
+                        .orElse(null);
+        String silent = view.copies().stream()
+                .filter(c -> !c.equals(self) && quiet(c, now) > BACKUP_MS)
+                .findFirst()
                 .orElse(slow);
-        boolean enough = view.voters().stream().filter(v -> !v.equals(self) && quiet(v, now) <= BACKUP_MS
-                && !v.equals(silent)).count() >= losses;
+        boolean enough = view.voters().stream()
+                        .filter(v -> !v.equals(self) && quiet(v, now) <= BACKUP_MS && !v.equals(silent))
+                        .count()
+                >= losses;
         boolean few = view.copies().size() < Math.min(losses + 1, view.voters().size());
         List<String> voters = voters(now);
         if ((silent != null || few) && enough || voters != null) {
@@ -584,7 +650,9 @@
         while (beatAt.size() > 64) {
             beatAt.pollFirstEntry();
         }
-        Letter beat = Letter.of(Letter.Kind.BEAT, view.epoch(), view).nonce(nonce).body(copyEpoch, copyIndex, new byte[0]);
+        ReplicaMessage beat = ReplicaMessage.of(ReplicaMessage.Kind.HEARTBEAT, view.epoch(), view)
+                .nonce(nonce)
+                .body(copyEpoch, copyIndex, new byte[0]);
         for (String v : view.voters()) {
             if (!v.equals(self)) {
                 out.send(v, beat);
@@ -599,7 +667,9 @@
         if (!primary()) {
             return;
         }
-        long[] acked = view.voters().stream().mapToLong(v -> v.equals(self) ? nonce : beaten.getOrDefault(v, 0L)).sorted()
+        long[] acked = view.voters().stream()
+                .mapToLong(v -> v.equals(self) ? nonce : beaten.getOrDefault(v, 0L))
+                .sorted()
                 .toArray();
         long sure = acked[acked.length - view.majority()];
         if (sure > confirmedNonce) {
@@ -618,14 +688,14 @@
     private void write(long now) {
         while (primary() && writing == null && !queue.isEmpty()) {
             Waiting w = queue.poll();
-            Ledger changed;
+            ControlState changed;
             try {
-                changed = ledger.with(w.change());
-            } catch (Refusal why) {
+                changed = state.with(w.change());
+            } catch (FleetException why) {
                 question(now, w.ticket(), why);
                 continue;
             }
-            if (changed == ledger) {
+            if (changed == state) {
                 question(now, w.ticket(), null);
                 continue;
             }
@@ -633,7 +703,7 @@
             writingAt = now;
             synced.clear();
             nextIndex = copyIndex + 1;
-            nextLedger = changed;
+            nextState = changed;
             persist(copyRecord(view.epoch(), nextIndex, changed), (at, ok) -> {
                 if (primary() && writing == w) {
                     if (ok) {
@@ -644,7 +714,7 @@
                     }
                 }
             });
-            Letter copy = copyLetter(view.epoch(), nextIndex, changed);
+            ReplicaMessage copy = copyMessage(view.epoch(), nextIndex, changed);
             view.copies().stream().filter(c -> !c.equals(self)).forEach(c -> out.send(c, copy));
         }
     }
@@ -653,29 +723,31 @@
         if (primary() && writing != null && synced.containsAll(view.copies())) {
             long ticket = writing.ticket();
             writing = null;
-            inForce = ledger;
+            inForce = state;
             out.committed(copyEpoch, copyIndex, inForce);
             out.done(ticket, null, inForce);
             write(now);
         }
     }
 
-    private static Letter copyLetter(long epoch, long index, Ledger state) {
-        return Letter.of(Letter.Kind.COPY, epoch, View.NONE).body(epoch, index, state.bytes());
+    private static ReplicaMessage copyMessage(long epoch, long index, ControlState state) {
+        return ReplicaMessage.of(ReplicaMessage.Kind.COPY, epoch, View.NONE).body(epoch, index, state.bytes());
     }
 
-    // ---- letters -------------------------------------------------------------------------------------
+    // ---- messages -------------------------------------------------------------------------------------
 
     /** Something came from another machine of the core. */
-    public void onLetter(long now, String from, Letter in) {
+    public void onMessage(long now, String from, ReplicaMessage in) {
         last = now;
         lastHeard.put(from, now);
         switch (in.kind()) {
-            case BEAT -> onBeat(now, from, in);
-            case BEATEN -> onBeaten(now, from, in);
-            case SOUND -> out.send(from, Letter.of(Letter.Kind.SOUNDED, in.epoch(), view)
-                    .says(!blank && in.epoch() > promised && free(now, from), promised, blank));
-            case SOUNDED -> {
+            case HEARTBEAT -> onHeartbeat(now, from, in);
+            case HEARTBEAT_REPLY -> onHeartbeatReply(now, from, in);
+            case PRE_VOTE -> out.send(
+                    from,
+                    ReplicaMessage.of(ReplicaMessage.Kind.PRE_VOTE_REPLY, in.epoch(), view)
+                            .says(!blank && in.epoch() > promised && free(now, from), promised, blank));
+            case PRE_VOTE_REPLY -> {
                 if (in.view().epoch() > view.epoch()) {
                     view = in.view();
                 }
@@ -689,8 +761,8 @@
                     }
                 }
             }
-            case ASK -> onAsk(now, from, in);
-            case GRANTED -> {
+            case VOTE -> onVote(now, from, in);
+            case VOTE_REPLY -> {
                 if (phase == Phase.ASKING && in.epoch() == next.epoch()) {
                     answers.put(from, in);
                     if (!in.ok() && in.promised() > promised) {
@@ -703,21 +775,23 @@
             }
             case FETCH -> {
                 if (!blank && in.epoch() == promised) {
-                    out.send(from, Letter.of(Letter.Kind.FETCHED, in.epoch(), view).body(copyEpoch, copyIndex,
-                            ledger.bytes()));
+                    out.send(
+                            from,
+                            ReplicaMessage.of(ReplicaMessage.Kind.FETCH_REPLY, in.epoch(), view)
+                                    .body(copyEpoch, copyIndex, state.bytes()));
                 }
             }
-            case FETCHED -> {
-                if (phase == Phase.FETCHING && in.epoch() == next.epoch()
-                        && in.copyEpoch() >= before.epoch()) {
-                    spread(now, in.index(), Ledger.parse(in.body()));
+            case FETCH_REPLY -> {
+                if (phase == Phase.FETCHING && in.epoch() == next.epoch() && in.copyEpoch() >= before.epoch()) {
+                    spread(now, in.index(), ControlState.parse(in.body()));
                 }
             }
             case COPY -> onCopy(now, from, in);
-            case COPIED -> {
+            case COPY_REPLY -> {
                 if (!in.ok()) {
                     deposed(now, in);
-                } else if ((phase == Phase.COPYING || primary() && writing != null) && in.epoch() == next.epoch()
+                } else if ((phase == Phase.COPYING || primary() && writing != null)
+                        && in.epoch() == next.epoch()
                         && in.index() == nextIndex) {
                     synced.add(from);
                     copied(now);
@@ -725,7 +799,7 @@
                 }
             }
             case ACCEPT -> onAccept(now, from, in);
-            case ACCEPTED -> {
+            case ACCEPT_REPLY -> {
                 if (!in.ok()) {
                     deposed(now, in);
                 } else if (phase == Phase.ACCEPTING && in.epoch() == next.epoch()) {
@@ -733,26 +807,30 @@
                     accepted(now);
                 }
             }
-            case RECALL -> {
+            case RECOVERY -> {
                 if (!in.blank() && !view.voters().contains(from)) {
                     standing.put(from, now);
                 }
                 if (!blank) {
-                    out.send(from, Letter.of(Letter.Kind.RECALLED, 0, view).says(true, promised, false));
+                    out.send(
+                            from,
+                            ReplicaMessage.of(ReplicaMessage.Kind.RECOVERY_REPLY, 0, view)
+                                    .says(true, promised, false));
                 }
             }
-            case RECALLED -> onRecalled(now, from, in);
-            default -> { }
+            case RECOVERY_REPLY -> onRecoveryReply(now, from, in);
+            default -> {}
         }
     }
 
     /** Whether this one may grant an epoch: not while somebody else leads well. */
     private boolean free(long now, String from) {
-        return from.equals(view.primary()) || !primary() && now - heardAt >= STICKY_MS
+        return from.equals(view.primary())
+                || !primary() && now - heardAt >= STICKY_MS
                 || primary() && now - Math.max(confirmedAt, phaseAt) >= STICKY_MS;
     }
 
-    private void deposed(long now, Letter in) {
+    private void deposed(long now, ReplicaMessage in) {
         if (in.promised() > promised) {
             promise(in.promised(), null);
             if (phase != Phase.FOLLOWING) {
@@ -762,9 +840,13 @@
         }
     }
 
-    private void onBeat(long now, String from, Letter in) {
+    private void onHeartbeat(long now, String from, ReplicaMessage in) {
         if (in.epoch() < promised && !blank) {
-            out.send(from, Letter.of(Letter.Kind.BEATEN, in.epoch(), view).nonce(in.nonce()).says(false, promised, false));
+            out.send(
+                    from,
+                    ReplicaMessage.of(ReplicaMessage.Kind.HEARTBEAT_REPLY, in.epoch(), view)
+                            .nonce(in.nonce())
+                            .says(false, promised, false));
             return;
         }
         if (in.view().epoch() != in.epoch() || !in.view().primary().equals(from)) {
@@ -781,13 +863,16 @@
             }
             return;
         }
-        Letter ack = Letter.of(Letter.Kind.BEATEN, in.epoch(), View.NONE).nonce(in.nonce());
+        ReplicaMessage ack = ReplicaMessage.of(ReplicaMessage.Kind.HEARTBEAT_REPLY, in.epoch(), View.NONE)
+                .nonce(in.nonce());
         if (in.view().epoch() > view.epoch() || in.epoch() > promised) {
             promise(in.epoch(), null);
             view = in.view().epoch() > view.epoch() ? in.view() : view;
             persistVote(now, ok -> {
                 if (ok) {
-                    out.send(from, ack.body(copyEpoch, copyIndex, new byte[0]).says(promised <= in.epoch(), promised, false));
+                    out.send(
+                            from,
+                            ack.body(copyEpoch, copyIndex, new byte[0]).says(promised <= in.epoch(), promised, false));
                 }
             });
         } else {
@@ -795,7 +880,7 @@
         }
     }
 
-    private void onBeaten(long now, String from, Letter in) {
+    private void onHeartbeatReply(long now, String from, ReplicaMessage in) {
         if (!primary() || in.epoch() != view.epoch()) {
             return;
         }
@@ -809,20 +894,24 @@
         }
         beaten.merge(from, in.nonce(), Math::max);
         confirmed(now);
-        // A backup that is behind lost its disk, or a letter. Between changes it is brought up at once.
-        if (primary() && writing == null && view.copies().contains(from)
+        // A backup that is behind lost its disk, or a message. Between changes it is brought up at once.
+        if (primary()
+                && writing == null
+                && view.copies().contains(from)
                 && (in.copyEpoch() < copyEpoch || in.index() < copyIndex)) {
             long[] sent = copyOf.computeIfAbsent(from, f -> new long[] {Long.MIN_VALUE / 2});
             if (now - sent[0] > AGAIN_MS) {
                 sent[0] = now;
-                out.send(from, copyLetter(copyEpoch, copyIndex, ledger));
+                out.send(from, copyMessage(copyEpoch, copyIndex, state));
             }
         }
     }
 
-    private void onAsk(long now, String from, Letter in) {
-        Letter answer = Letter.of(Letter.Kind.GRANTED, in.epoch(), view);
-        if (blank || in.epoch() < promised || in.epoch() == promised && !from.equals(grantedTo)
+    private void onVote(long now, String from, ReplicaMessage in) {
+        ReplicaMessage answer = ReplicaMessage.of(ReplicaMessage.Kind.VOTE_REPLY, in.epoch(), view);
+        if (blank
+                || in.epoch() < promised
+                || in.epoch() == promised && !from.equals(grantedTo)
                 || in.epoch() > promised && !free(now, from)) {
             out.send(from, answer.says(false, promised, blank));
             return;
@@ -833,8 +922,13 @@
         // The candidate has time for its steps before anybody else stands.
         heardAt = Math.max(heardAt, now - STICKY_MS);
         promise(in.epoch(), from);
-        persistVote(now, ok -> out.send(from, Letter.of(Letter.Kind.GRANTED, in.epoch(), view)
-                .body(copyEpoch, copyIndex, new byte[0]).says(ok && promised == in.epoch(), promised, false)));
+        persistVote(
+                now,
+                ok -> out.send(
+                        from,
+                        ReplicaMessage.of(ReplicaMessage.Kind.VOTE_REPLY, in.epoch(), view)
+                                .body(copyEpoch, copyIndex, new byte[0])
+                                .says(ok && promised == in.epoch(), promised, false)));
     }
 
     private void promise(long epoch, String to) {
@@ -842,8 +936,9 @@
         grantedTo = to;
     }
 
-    private void onCopy(long now, String from, Letter in) {
-        Letter answer = Letter.of(Letter.Kind.COPIED, in.epoch(), View.NONE).body(in.epoch(), in.index(), new byte[0]);
+    private void onCopy(long now, String from, ReplicaMessage in) {
+        ReplicaMessage answer = ReplicaMessage.of(ReplicaMessage.Kind.COPY_REPLY, in.epoch(), View.NONE)
+                .body(in.epoch(), in.index(), new byte[0]);
         if (blank) {
             return;
         }
@@ -861,17 +956,17 @@
         heardAt = Math.max(heardAt, now - STICKY_MS);
         if (in.epoch() > promised) {
             promise(in.epoch(), null);
-            persistVote(now, ok -> { });
+            persistVote(now, ok -> {});
         }
-        persist(copyRecord(in.epoch(), in.index(), Ledger.parse(in.body())), (at, ok) -> {
+        persist(copyRecord(in.epoch(), in.index(), ControlState.parse(in.body())), (at, ok) -> {
             if (ok) {
                 out.send(from, answer.says(true, promised, false));
             }
         });
     }
 
-    private void onAccept(long now, String from, Letter in) {
-        Letter answer = Letter.of(Letter.Kind.ACCEPTED, in.epoch(), View.NONE);
+    private void onAccept(long now, String from, ReplicaMessage in) {
+        ReplicaMessage answer = ReplicaMessage.of(ReplicaMessage.Kind.ACCEPT_REPLY, in.epoch(), View.NONE);
         if (blank) {
             return;
         }
@@ -896,7 +991,7 @@
      * What others promised. One that is no voter of the latest view has promised nothing that counts. A voter waits for so
      * many others that each majority it may have been part of has one of them; nobody else's word counts.
      */
-    private void onRecalled(long now, String from, Letter in) {
+    private void onRecoveryReply(long now, String from, ReplicaMessage in) {
         if (!blank) {
             if (!view.voters().contains(self) && in.view().epoch() > view.epoch()) {
                 view = in.view();
@@ -906,7 +1001,7 @@
         answers.put(from, in);
         View latest = View.NONE;
         long most = 0;
-        for (Letter a : answers.values()) {
+        for (ReplicaMessage a : answers.values()) {
             latest = a.view().epoch() > latest.epoch() ? a.view() : latest;
             most = Math.max(most, a.promised());
         }
@@ -939,13 +1034,23 @@
 
     private void persistVote(long now, Told then) {
         byte[] text = view.text().getBytes(StandardCharsets.UTF_8);
-        persist(ByteBuffer.allocate(9 + text.length).put(VOTE).putLong(promised).put(text).array(),
+        persist(
+                ByteBuffer.allocate(9 + text.length)
+                        .put(VOTE)
+                        .putLong(promised)
+                        .put(text)
+                        .array(),
                 (at, ok) -> then.run(ok));
     }
 
-    private static byte[] copyRecord(long epoch, long index, Ledger state) {
+    private static byte[] copyRecord(long epoch, long index, ControlState state) {
         byte[] bytes = state.bytes();
-        return ByteBuffer.allocate(17 + bytes.length).put(COPY).putLong(epoch).putLong(index).put(bytes).array();
+        return ByteBuffer.allocate(17 + bytes.length)
+                .put(COPY)
+                .putLong(epoch)
+                .putLong(index)
+                .put(bytes)
+                .array();
     }
 
     private void persist(byte[] record, Then then) {
@@ -983,7 +1088,7 @@
         } else if (tag == COPY) {
             copyEpoch = b.getLong();
             copyIndex = b.getLong();
-            ledger = Ledger.parse(Arrays.copyOfRange(record, 17, record.length));
+            state = ControlState.parse(Arrays.copyOfRange(record, 17, record.length));
         }
     }
 }
--- a/src/main/java/quartzspan/docket/Keeper.java
+++ b/src/main/java/quartzspan/replication/ReplicaStore.java
@@ -1,30 +1,30 @@
-package quartzspan.docket;
+package quartzspan.replication;
 
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
-import quartzspan.bond.Bond;
-import quartzspan.papers.Refusal;
+import quartzspan.common.FleetException;
+import quartzspan.store.SlotStore;
 
-/** Keeps a docket's records in a {@link Bond}: the latest vote and the latest copy are all that a state is. Blocks. */
-public final class Keeper {
+/** Keeps a replica's records in a {@link SlotStore}: the latest vote and the latest copy are all that a state is. Blocks. */
+public final class ReplicaStore {
     /** The log is short: a start reads it whole, and a state is small. */
     private static final long MOST_LOG = 1024 * 1024;
 
-    private final Bond bond;
+    private final SlotStore store;
     private byte[] vote = {};
     private byte[] copy = {};
     private boolean begun;
     private boolean discarded;
 
-    public Keeper(Bond bond) {
-        this.bond = bond;
+    public ReplicaStore(SlotStore store) {
+        this.store = store;
     }
 
     /** The records to begin with, oldest first. */
     public List<byte[]> open() {
         List<byte[]> all = new ArrayList<>();
-        Bond.Contents found = bond.open();
+        SlotStore.Contents found = store.open();
         begun = found.state() != null;
         if (begun) {
             ByteBuffer b = ByteBuffer.wrap(found.state());
@@ -42,7 +42,7 @@
 
     /** Gives up what can't be read. */
     public void discard() {
-        bond.discard();
+        store.discard();
         vote = new byte[0];
         copy = new byte[0];
         begun = false;
@@ -54,7 +54,7 @@
     }
 
     private void note(byte[] record) {
-        if (record[0] == Docket.VOTE) {
+        if (record[0] == Replica.VOTE) {
             vote = record;
         } else {
             copy = record;
@@ -67,15 +67,19 @@
         byte[] oldCopy = copy;
         note(record);
         try {
-            if (begun && bond.logged() < MOST_LOG) {
-                bond.append(record);
+            if (begun && store.logged() < MOST_LOG) {
+                store.append(record);
             } else {
-                bond.checkpoint(ByteBuffer.allocate(8 + vote.length + copy.length).putInt(vote.length).put(vote)
-                        .putInt(copy.length).put(copy).array());
+                store.checkpoint(ByteBuffer.allocate(8 + vote.length + copy.length)
+                        .putInt(vote.length)
+                        .put(vote)
+                        .putInt(copy.length)
+                        .put(copy)
+                        .array());
                 begun = true;
             }
             return true;
-        } catch (Refusal refused) {
+        } catch (FleetException refused) {
             vote = oldVote;
             copy = oldCopy;
             return false;
--- a/src/main/java/quartzspan/docket/View.java
+++ b/src/main/java/quartzspan/replication/View.java
@@ -1,4 +1,4 @@
-package quartzspan.docket;
+package quartzspan.replication;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/src/main/java/quartzspan/bond/Disk.java
+++ b/src/main/java/quartzspan/store/Disk.java
@@ -1,8 +1,8 @@
-package quartzspan.bond;
+package quartzspan.store;
 
 /**
- * The few operations on files that a {@link Bond} needs. What is written lasts once its file is synced, and a new file once
- * its folder is too. Each call may block, and throws {@link quartzspan.papers.Refusal} where the disk refuses.
+ * The few operations on files that a {@link SlotStore} needs. What is written lasts once its file is synced, and a new file once
+ * its folder is too. Each call may block, and throws {@link quartzspan.common.FleetException} where the disk refuses.
  */
 public interface Disk {
     /** All bytes of a file; null if there is none. */
--- a/src/main/java/quartzspan/bond/FileDisk.java
+++ b/src/main/java/quartzspan/store/FileDisk.java
@@ -1,4 +1,4 @@
-package quartzspan.bond;
+package quartzspan.store;
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -8,7 +8,7 @@
 import java.nio.file.StandardOpenOption;
 import java.util.HashMap;
 import java.util.Map;
-import quartzspan.papers.Refusal;
+import quartzspan.common.FleetException;
 
 /** A folder of files. One thread at a time. */
 public final class FileDisk implements Disk {
@@ -78,7 +78,9 @@
         try {
             return work.run();
         } catch (IOException e) {
-            throw new Refusal(Refusal.Code.STORE_REFUSES, folder + ": " + e.getMessage(),
+            throw new FleetException(
+                    FleetException.Code.STORE_REFUSES,
+                    folder + ": " + e.getMessage(),
                     "free space or mend the disk; this machine takes nothing more until then");
         }
     }
--- a/src/main/java/quartzspan/bond/Bond.java
+++ b/src/main/java/quartzspan/store/SlotStore.java
@@ -1,11 +1,11 @@
-package quartzspan.bond;
+package quartzspan.store;
 
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.zip.CRC32C;
-import quartzspan.papers.Refusal;
+import quartzspan.common.FleetException;
 
 /**
  * What must outlast its process: a state in one of two slots, written in turn, and a short log of records since. What has
@@ -15,7 +15,7 @@
  * another generation is as good as none. Only the last record can be torn, for each is synced before the next is written:
  * a record that can't be read before one that can is damage, and refused.
  */
-public final class Bond {
+public final class SlotStore {
     private static final String[] SLOTS = {"slot-a", "slot-b"};
     private static final String LOG = "log";
     private static final int HEAD = 16;
@@ -24,7 +24,7 @@
     private static final int MOST = 32 * 1024 * 1024;
 
     /** What was found; {@code state} is null if nothing was ever kept. */
-    public record Contents(byte[] state, List<byte[]> records) { }
+    public record Contents(byte[] state, List<byte[]> records) {}
 
     private final Disk disk;
     private long generation;
@@ -33,7 +33,7 @@
     /** Whether the log's first bytes may not be this generation's. */
     private boolean headless;
 
-    public Bond(Disk disk) {
+    public SlotStore(Disk disk) {
         this.disk = disk;
     }
 
@@ -49,7 +49,10 @@
                 long g = b.getLong();
                 int length = b.getInt();
                 int sum = b.getInt();
-                if (length >= 0 && length <= file.length - HEAD && sum == sum(g, file, HEAD, length) && g > generation) {
+                if (length >= 0
+                        && length <= file.length - HEAD
+                        && sum == sum(g, file, HEAD, length)
+                        && g > generation) {
                     generation = g;
                     state = Arrays.copyOfRange(file, HEAD, HEAD + length);
                 }
@@ -113,8 +116,14 @@
             torn = false;
         }
         torn = true;
-        disk.write(LOG, end, ByteBuffer.allocate(RECORD + record.length).putInt(record.length)
-                .putInt(sum(generation, record, 0, record.length)).put(record).array());
+        disk.write(
+                LOG,
+                end,
+                ByteBuffer.allocate(RECORD + record.length)
+                        .putInt(record.length)
+                        .putInt(sum(generation, record, 0, record.length))
+                        .put(record)
+                        .array());
         disk.sync(LOG);
         torn = false;
         end += RECORD + record.length;
@@ -127,8 +136,15 @@
         }
         long next = generation + 1;
         String slot = SLOTS[(int) (next & 1)];
-        disk.write(slot, 0, ByteBuffer.allocate(HEAD + state.length).putLong(next).putInt(state.length)
-                .putInt(sum(next, state, 0, state.length)).put(state).array());
+        disk.write(
+                slot,
+                0,
+                ByteBuffer.allocate(HEAD + state.length)
+                        .putLong(next)
+                        .putInt(state.length)
+                        .putInt(sum(next, state, 0, state.length))
+                        .put(state)
+                        .array());
         disk.sync(slot);
         if (next <= 2) {
             disk.syncFolder();
@@ -168,8 +184,10 @@
         return (int) sum.getValue();
     }
 
-    private static Refusal damaged(String reason) {
-        return new Refusal(Refusal.Code.STORE_DAMAGED, reason,
+    private static FleetException damaged(String reason) {
+        return new FleetException(
+                FleetException.Code.STORE_DAMAGED,
+                reason,
                 "move the data directory aside and start again: the machine then asks the others what it has promised");
     }
 }
--- a/src/main/java/quartzspan/waybill/Carrier.java
+++ b/src/main/java/quartzspan/transport/TcpTransport.java
@@ -1,4 +1,4 @@
-package quartzspan.waybill;
+package quartzspan.transport;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -22,19 +22,20 @@
 import mulleinfront.proxy.Upstream;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import quartzspan.papers.Refusal;
-import quartzspan.waybill.Waybill.Hello;
+import quartzspan.common.FleetException;
+import quartzspan.transport.MessageCodec.Hello;
 
 /**
  * Messages between the system's processes over TCP: each keeps one connection to everybody it writes to, and reads from
  * those that others opened. Nothing is promised: what can't be written soon is dropped, and the protocols above ask again.
  * All on one event loop.
  */
-public final class Carrier implements Post {
-    private static final Logger LOG = LoggerFactory.getLogger(Carrier.class);
+public final class TcpTransport implements Transport {
+    private static final Logger LOG = LoggerFactory.getLogger(TcpTransport.class);
     private static final int CONNECT_MS = 600;
     /** No word from one we write to for so long: the connection may hang behind a cut, and a new one would not. */
     private static final long MUTE_MS = 1_200;
+
     private static final long AGAIN_MS = 200;
     private static final int MOST_WAITING = 64;
     private static final int MOST_UNSENT = 4 * 1024 * 1024;
@@ -51,15 +52,18 @@
         long openedAt;
         /** When something was first written since the other last said anything; 0 if all is answered. */
         long writtenAt;
+
         long usedAt;
         final ArrayDeque<byte[]> waiting = new ArrayDeque<>();
     }
 
-    public Carrier(EventLoop loop, Hello self, Receiver receiver) {
+    public TcpTransport(EventLoop loop, Hello self, Receiver receiver) {
         this.loop = loop;
         this.self = self;
         this.receiver = receiver;
-        this.out = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        this.out = new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
                 .option(ChannelOption.ALLOCATOR, Upstream.BUFFERS)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
@@ -83,16 +87,22 @@
 
     /** Takes connections of others. */
     public ChannelFuture listen(InetSocketAddress at) {
-        return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        return new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.ALLOCATOR, Upstream.BUFFERS)
                 .option(ChannelOption.SO_BACKLOG, 512)
                 .childOption(ChannelOption.ALLOCATOR, Upstream.BUFFERS)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel ch) {
-                        ch.pipeline().addLast(new LengthFieldBasedFrameDecoder(Waybill.MOST_BYTES, 0, 4, 0, 4), new In());
+                        ch.pipeline()
+                                .addLast(
+                                        new LengthFieldBasedFrameDecoder(MessageCodec.MOST_BYTES, 0, 4, 0, 4),
+                                        new In());
                     }
-                }).bind(at);
+                })
+                .bind(at);
     }
 
     /** Reads one connection; whatever is no message of ours ends it. */
@@ -103,10 +113,11 @@
         protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) {
             byte[] bytes = new byte[frame.readableBytes()];
             frame.readBytes(bytes);
-            Object message = Waybill.decode(bytes);
+            Object message = MessageCodec.decode(bytes);
             if (from == null) {
                 if (!(message instanceof Hello hello)) {
-                    throw new Refusal(Refusal.Code.MESSAGE_INVALID, "no hello first", "run the same version everywhere");
+                    throw new FleetException(
+                            FleetException.Code.MESSAGE_INVALID, "no hello first", "run the same version everywhere");
                 }
                 from = hello;
                 return;
@@ -121,7 +132,9 @@
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             if (!(cause instanceof java.io.IOException)) {
-                LOG.warn("a connection of {} is closed", from == null ? ctx.channel().remoteAddress() : from.address(),
+                LOG.warn(
+                        "a connection of {} is closed",
+                        from == null ? ctx.channel().remoteAddress() : from.address(),
                         cause);
             }
             ctx.close();
@@ -152,7 +165,7 @@
             }
             open(to, link, now);
         }
-        byte[] bytes = Waybill.encode(message);
+        byte[] bytes = MessageCodec.encode(message);
         if (link.up) {
             ChannelWrites.write(link.channel, bytes);
         } else if (link.waiting.size() < MOST_WAITING) {
@@ -163,8 +176,8 @@
     private void open(String to, Link link, long now) {
         link.openedAt = now;
         int colon = to.lastIndexOf(':');
-        ChannelFuture f = out.connect(new InetSocketAddress(to.substring(0, colon),
-                Integer.parseInt(to.substring(colon + 1))));
+        ChannelFuture f =
+                out.connect(new InetSocketAddress(to.substring(0, colon), Integer.parseInt(to.substring(colon + 1))));
         Channel channel = f.channel();
         link.channel = channel;
         f.addListener(done -> {
@@ -172,8 +185,8 @@
                 channel.close();
             } else if (done.isSuccess()) {
                 link.up = true;
-                ChannelWrites.write(channel, Waybill.encode(self));
-                for (byte[] b; (b = link.waiting.poll()) != null;) {
+                ChannelWrites.write(channel, MessageCodec.encode(self));
+                for (byte[] b; (b = link.waiting.poll()) != null; ) {
                     ChannelWrites.write(channel, b);
                 }
             } else {
@@ -209,7 +222,7 @@
 
     /** Framing, and a bound to what may pile up behind a peer that does not read. */
     private static final class ChannelWrites {
-        private ChannelWrites() { }
+        private ChannelWrites() {}
 
         static void write(Channel channel, byte[] bytes) {
             if (channel.unsafe().outboundBuffer() != null
@@ -217,8 +230,14 @@
                 channel.close();
                 return;
             }
-            channel.writeAndFlush(Unpooled.wrappedBuffer(new byte[] {(byte) (bytes.length >>> 24),
-                (byte) (bytes.length >>> 16), (byte) (bytes.length >>> 8), (byte) bytes.length}, bytes));
+            channel.writeAndFlush(Unpooled.wrappedBuffer(
+                    new byte[] {
+                        (byte) (bytes.length >>> 24),
+                        (byte) (bytes.length >>> 16),
+                        (byte) (bytes.length >>> 8),
+                        (byte) bytes.length
+                    },
+                    bytes));
         }
     }
 }
--- a/src/main/java/quartzspan/waybill/Post.java
+++ b/src/main/java/quartzspan/transport/Transport.java
@@ -1,9 +1,9 @@
-package quartzspan.waybill;
+package quartzspan.transport;
 
-import quartzspan.waybill.Waybill.Hello;
+import quartzspan.transport.MessageCodec.Hello;
 
 /** Messages to other processes of the system, unreliable: each comes once or not at all, those of one sender in order. */
-public interface Post {
+public interface Transport {
     /** Sends to an internal address, {@code IP:PORT}. */
     void send(String to, Object message);
 
--- a/src/test/java/example/EmbeddingTest.java
+++ b/src/test/java/example/EmbeddingTest.java
@@ -48,17 +48,28 @@
                 log.add("subscribe");
             }
 
-            public void wakeAt(long atUs) { }
+            public void wakeAt(long atUs) {}
         };
         // <example>
         RequestClass read = new RequestClass("read", Effect.RETRYABLE, null, 0, 1.0, 0.0, 500_000, 0, 2_000_000);
-        Settings settings = new Settings(List.of(read), List.of(), 1.0, 1, 0, false, false,
-                new Limits(3, true, false, 0, 15_000_000), new Contract(10_000_000, 0.2, 20_000_000));
+        Settings settings = new Settings(
+                List.of(read),
+                List.of(),
+                1.0,
+                1,
+                0,
+                false,
+                false,
+                new Limits(3, true, false, 0, 15_000_000),
+                new Contract(10_000_000, 0.2, 20_000_000));
         Balancer balancer = Balancer.create(settings, 42, 0, actions);
-        balancer.onEndpoints(0, Source.FULL, List.of(
-                new Endpoint("10.0.0.1:80", 0, 0, 0, Availability.READY, 1, 0),
-                new Endpoint("10.0.0.2:80", 1, 0, 0, Availability.READY, 1, 0)));
-        balancer.onRequest(1_000, new Request("r1", 0, "some-key", 2_000_000, 0, 0, false));  // calls send
+        balancer.onEndpoints(
+                0,
+                Source.FULL,
+                List.of(
+                        new Endpoint("10.0.0.1:80", 0, 0, 0, Availability.READY, 1, 0),
+                        new Endpoint("10.0.0.2:80", 1, 0, 0, Availability.READY, 1, 0)));
+        balancer.onRequest(1_000, new Request("r1", 0, "some-key", 2_000_000, 0, 0, false)); // calls send
         balancer.onAttemptEnded(31_000, new AttemptEnd("r1", 0, Outcome.OK, true, 30_000));
         // </example>
         assertEquals(List.of("send r1"), log);
--- a/src/test/java/mulleinfront/FleetTest.java
+++ b/src/test/java/mulleinfront/FleetTest.java
@@ -95,7 +95,9 @@
         int sent = 0;
         for (int i = 0; i < 200; i++) {
             Rig rig = new Rig(Rig.oneOfMany(false, Rig.SAFE), i);
-            rig.balancer.onEndpoints(rig.now, Source.FULL,
+            rig.balancer.onEndpoints(
+                    rig.now,
+                    Source.FULL,
                     List.of(Rig.ready(1), new Endpoint("cold", 0, 0, 0, Availability.READY, 1, rig.now)));
             for (int k = 0; k < 2; k++) {
                 sent += rig.serve(0, "k" + k).equals("cold") ? 1 : 0;
@@ -182,8 +184,9 @@
         int before = rig.log.size();
         rig.pass(300_000);
         List<String> after = rig.log.subList(before, rig.log.size());
-        assertTrue(after.stream().anyMatch(l -> l.startsWith("probe") || l.startsWith("send")
-                || l.startsWith("refuse")), "waits for a probe that does not come: " + after);
+        assertTrue(
+                after.stream().anyMatch(l -> l.startsWith("probe") || l.startsWith("send") || l.startsWith("refuse")),
+                "waits for a probe that does not come: " + after);
         assertTrue(after.stream().noneMatch(l -> l.contains("send") && l.contains(" " + slow + " ")), "" + after);
     }
 
--- a/src/test/java/mulleinfront/LogicTest.java
+++ b/src/test/java/mulleinfront/LogicTest.java
@@ -41,11 +41,15 @@
         // Guards a day on which all is new all the time: also an end told of a host that was never listed.
         Rig rig = new Rig(Rig.SAFE).endpoints(9);
         for (int i = 0; i < 2000; i++) {
-            rig.balancer.onEndpoints(rig.now, Source.DELTA, List.of(new Endpoint("old" + i, 0, 0, 0,
-                    Availability.GONE, 1, 0), new Endpoint("new" + i, 0, 0, 0, Availability.READY, 1, 0)));
+            rig.balancer.onEndpoints(
+                    rig.now,
+                    Source.DELTA,
+                    List.of(
+                            new Endpoint("old" + i, 0, 0, 0, Availability.GONE, 1, 0),
+                            new Endpoint("new" + i, 0, 0, 0, Availability.READY, 1, 0)));
             rig.serve(0, "key" + i);
-            rig.balancer.onEndpoints(rig.now, Source.DELTA,
-                    List.of(new Endpoint("new" + i, 0, 0, 0, Availability.GONE, 1, 0)));
+            rig.balancer.onEndpoints(
+                    rig.now, Source.DELTA, List.of(new Endpoint("new" + i, 0, 0, 0, Availability.GONE, 1, 0)));
         }
         for (java.lang.reflect.Field f : rig.balancer.getClass().getDeclaredFields()) {
             f.setAccessible(true);
@@ -471,8 +475,10 @@
 
     @Test
     void nonsensicalSettingsAreRejectedByName() {
-        String text = assertThrows(IllegalArgumentException.class, () -> new RequestClass("c",
-                Effect.RETRYABLE, null, 0, 1, 0, -5, 0, 10)).getMessage();
+        String text = assertThrows(
+                        IllegalArgumentException.class,
+                        () -> new RequestClass("c", Effect.RETRYABLE, null, 0, 1, 0, -5, 0, 10))
+                .getMessage();
         assertTrue(text.contains("onTimeUs"), text);
         assertThrows(IllegalArgumentException.class, () -> new Balancer.Contract(1, 2, 1));
     }
--- a/src/test/java/mulleinfront/Rig.java
+++ b/src/test/java/mulleinfront/Rig.java
@@ -20,12 +20,10 @@
 
 /** Drives one balancer by hand and writes down what it does. */
 final class Rig implements Actions {
-    static final RequestClass SAFE =
-            new RequestClass("safe", Effect.RETRYABLE, null, 0, 1, 0, 500_000, 0, 2_000_000);
+    static final RequestClass SAFE = new RequestClass("safe", Effect.RETRYABLE, null, 0, 1, 0, 500_000, 0, 2_000_000);
     static final RequestClass KEYED =
             new RequestClass("keyed", Effect.DEDUP, DedupScope.ZONE, 1_000_000, 2, 0, 500_000, 0, 2_000_000);
-    static final RequestClass UNSAFE =
-            new RequestClass("unsafe", Effect.FRAGILE, null, 0, 4, 0, 500_000, 0, 2_000_000);
+    static final RequestClass UNSAFE = new RequestClass("unsafe", Effect.FRAGILE, null, 0, 4, 0, 500_000, 0, 2_000_000);
     static final Contract CONTRACT = new Contract(10_000_000, 0.2, 20_000_000);
 
     final List<String> log = new ArrayList<>();
@@ -53,8 +51,16 @@
     }
 
     private static Settings settings(int instances, boolean mayProbe, boolean subscribe, RequestClass... classes) {
-        return new Settings(List.of(classes), List.of(), 0.2, instances, 0, subscribe, false,
-                new Limits(3, true, mayProbe, 1_000_000, 10_000_000), CONTRACT);
+        return new Settings(
+                List.of(classes),
+                List.of(),
+                0.2,
+                instances,
+                0,
+                subscribe,
+                false,
+                new Limits(3, true, mayProbe, 1_000_000, 10_000_000),
+                CONTRACT);
     }
 
     Rig(RequestClass... classes) {
@@ -75,8 +81,7 @@
 
     /** Discovery tells of an endpoint whose process starts now. */
     void starts(String id) {
-        balancer.onEndpoints(now, Source.DELTA,
-                List.of(new Endpoint(id, 0, 0, 0, Availability.READY, 1, now)));
+        balancer.onEndpoints(now, Source.DELTA, List.of(new Endpoint(id, 0, 0, 0, Availability.READY, 1, now)));
     }
 
     Rig endpoints(int count) {
@@ -105,8 +110,7 @@
     }
 
     void end(String id, Outcome outcome, long lag) {
-        balancer.onAttemptEnded(now,
-                new AttemptEnd(id, attempts(id) - 1, outcome, outcome == Outcome.OK, lag));
+        balancer.onAttemptEnded(now, new AttemptEnd(id, attempts(id) - 1, outcome, outcome == Outcome.OK, lag));
     }
 
     /** Serves one request at once; gives the endpoint. */
--- a/src/test/java/mulleinfront/RingTest.java
+++ b/src/test/java/mulleinfront/RingTest.java
@@ -34,8 +34,8 @@
             for (int i = 0; i < 30 && !map.isEmpty(); i++) {
                 long hash = random.nextLong();
                 var entry = map.ceilingEntry(hash & ~0xffffL);
-                assertSame(entry == null ? map.firstEntry().getValue() : entry.getValue(),
-                        ring.owner(ring.first(hash)));
+                assertSame(
+                        entry == null ? map.firstEntry().getValue() : entry.getValue(), ring.owner(ring.first(hash)));
             }
         }
     }
--- a/src/test/java/mulleinfront/RulesTest.java
+++ b/src/test/java/mulleinfront/RulesTest.java
@@ -77,9 +77,11 @@
                 if (maybe && s.type.effect() == Effect.DEDUP) {
                     Endpoint first = world.get(t.endpoint);
                     assertTrue(now - t.at <= s.type.dedupWindowUs(), "outside the window");
-                    assertTrue(s.type.scope() == DedupScope.ALL
-                            || s.type.scope() == DedupScope.ZONE && first.zone() == e.zone()
-                            || s.type.scope() == DedupScope.CELL && first.cell() == e.cell(), "outside the group");
+                    assertTrue(
+                            s.type.scope() == DedupScope.ALL
+                                    || s.type.scope() == DedupScope.ZONE && first.zone() == e.zone()
+                                    || s.type.scope() == DedupScope.CELL && first.cell() == e.cell(),
+                            "outside the group");
                 }
             }
             Try t = new Try();
@@ -89,8 +91,11 @@
             long natural = now + (long) (20_000 * Math.exp(1.2 * random.nextGaussian()));
             boolean late = natural > limit || random.nextInt(60) == 0;
             t.endsAt = late ? Math.max(now, limit) : natural;
-            t.planned = late ? Outcome.TIMED_OUT : random.nextInt(14) > 0 ? Outcome.OK
-                    : Outcome.values()[random.nextInt(5) == 0 ? 4 : 1 + random.nextInt(5)];
+            t.planned = late
+                    ? Outcome.TIMED_OUT
+                    : random.nextInt(14) > 0
+                            ? Outcome.OK
+                            : Outcome.values()[random.nextInt(5) == 0 ? 4 : 1 + random.nextInt(5)];
             if (t.planned == Outcome.TIMED_OUT && !late) {
                 t.planned = Outcome.FAILED;
             }
@@ -102,8 +107,11 @@
             Seen s = answer(id);
             for (Try t : s.tries) {
                 boolean maybe = t.outcome == null || !t.outcome.neverRan();
-                assertTrue(!maybe || s.type.effect() == Effect.RETRYABLE
-                        || s.type.effect() == Effect.DEDUP && s.type.scope() == DedupScope.ALL, "untrue refusal");
+                assertTrue(
+                        !maybe
+                                || s.type.effect() == Effect.RETRYABLE
+                                || s.type.effect() == Effect.DEDUP && s.type.scope() == DedupScope.ALL,
+                        "untrue refusal");
             }
         }
 
@@ -137,7 +145,7 @@
         }
 
         @Override
-        public void subscribe() { }
+        public void subscribe() {}
 
         @Override
         public void wakeAt(long at) {
@@ -242,8 +250,7 @@
                         c.finals++;
                     }
                     ended++;
-                    balancer.onAttemptEnded(c.now,
-                            new AttemptEnd(e.getKey(), i, t.outcome, s.done, c.now - t.at));
+                    balancer.onAttemptEnded(c.now, new AttemptEnd(e.getKey(), i, t.outcome, s.done, c.now - t.at));
                 }
                 out |= t.outcome == null;
             }
--- a/src/test/java/mulleinfront/ShapeTest.java
+++ b/src/test/java/mulleinfront/ShapeTest.java
@@ -26,8 +26,21 @@
     void moduleKnowsNoDeployment() throws Exception {
         for (Path file : List.of(MODULE, Path.of("src/main/java/mulleinfront/Balancer.java"))) {
             String text = Files.readString(file).toLowerCase();
-            for (String name : List.of("lisboa", "factoring", "vacature", "confirm", "payout", "invoice",
-                    "vacancy", "publish", "mechelen", "oeiras", "khan-uul", "rotas", "getname", ".name()")) {
+            for (String name : List.of(
+                    "lisboa",
+                    "factoring",
+                    "vacature",
+                    "confirm",
+                    "payout",
+                    "invoice",
+                    "vacancy",
+                    "publish",
+                    "mechelen",
+                    "oeiras",
+                    "khan-uul",
+                    "rotas",
+                    "getname",
+                    ".name()")) {
                 assertFalse(text.contains(name), file + ": " + name);
             }
         }
--- a/src/test/java/mulleinfront/benchlink/AdapterTest.java
+++ b/src/test/java/mulleinfront/benchlink/AdapterTest.java
@@ -44,13 +44,18 @@
 
     @Test
     void aRequestIsForwardedAndServed() throws IOException {
-        String out = play(batch(10, BOOT + "," + LIST) + batch(5010, order("c50b12855d3a91c4"))
-                + batch(9010, "{\"m\":\"ENDED\",\"xid\":\"c50b12855d3a91c4\",\"host\":\"10.0.0.1:80\",\"outcome\":\"Ok\","
-                        + "\"complete\":true,\"hop\":0,\"lagUs\":4000,\"report\":null}"));
+        String out = play(batch(10, BOOT + "," + LIST)
+                + batch(5010, order("c50b12855d3a91c4"))
+                + batch(
+                        9010,
+                        "{\"m\":\"ENDED\",\"xid\":\"c50b12855d3a91c4\",\"host\":\"10.0.0.1:80\",\"outcome\":\"Ok\","
+                                + "\"complete\":true,\"hop\":0,\"lagUs\":4000,\"report\":null}"));
         String[] lines = out.split("\n");
         assertEquals(3, lines.length);
-        assertTrue(lines[1].startsWith("{\"proxys\":[{\"i\":3,\"actions\":[{\"m\":\"FORWARD\","
-                + "\"xid\":\"c50b12855d3a91c4\",\"host\":\"10.0.0.1:80\",\"tryForUs\":"), lines[1]);
+        assertTrue(
+                lines[1].startsWith("{\"proxys\":[{\"i\":3,\"actions\":[{\"m\":\"FORWARD\","
+                        + "\"xid\":\"c50b12855d3a91c4\",\"host\":\"10.0.0.1:80\",\"tryForUs\":"),
+                lines[1]);
         assertFalse(lines[2].contains("FORWARD"), lines[2]);
     }
 
@@ -86,9 +91,17 @@
 
     @Test
     void malformedLinesEndWithOnePlainMessage() {
-        for (String bad : new String[] {"nonsense\n", "[]\n", "{\"proxys\":[]}\n", "{\"wallUs\":1,\"proxys\":{}}\n",
-            "{\"wallUs\":1,\"proxys\":[{\"in\":[]}]}\n", "{\"wallUs\":1,\"proxys\":[", batch(1, "{\"m\":null}"),
-            batch(1, "{\"m\":\"CATALOG\",\"table\":99,\"rowsIn\":[]}"), batch(1, BOOT + ",{\"m\":\"ENDED\",\"outcome\":\"?\"}")}) {
+        for (String bad : new String[] {
+            "nonsense\n",
+            "[]\n",
+            "{\"proxys\":[]}\n",
+            "{\"wallUs\":1,\"proxys\":{}}\n",
+            "{\"wallUs\":1,\"proxys\":[{\"in\":[]}]}\n",
+            "{\"wallUs\":1,\"proxys\":[",
+            batch(1, "{\"m\":null}"),
+            batch(1, "{\"m\":\"CATALOG\",\"table\":99,\"rowsIn\":[]}"),
+            batch(1, BOOT + ",{\"m\":\"ENDED\",\"outcome\":\"?\"}")
+        }) {
             Exception e = assertThrows(IOException.class, () -> play(bad), bad);
             assertFalse(Adapter.plain(e).contains("\n"));
             assertTrue(Adapter.plain(e).startsWith("malformed input: "), Adapter.plain(e));
--- a/src/test/java/mulleinfront/proxy/BadClientsTest.java
+++ b/src/test/java/mulleinfront/proxy/BadClientsTest.java
@@ -25,7 +25,7 @@
     void atTheMostTheLongestQuietMakesRoom() throws Exception {
         // Guards the limit on descriptors, and the usual clients against hundreds that say nothing.
         start("");
-        module.onRequest = r -> { };
+        module.onRequest = r -> {};
         List<Client> silent = new ArrayList<>();
         Client busy = client().unsafe("busy", 20_000);
         for (int i = 0; i < 70; i++) {
@@ -56,10 +56,10 @@
         module.onRequest = r -> {
             throw new AssertionError("told of " + r);
         };
-        String post = "POST /api HTTP/1.1\r\nHost: h\r\nX-Request-Id: a\r\nX-Class: unsafe\r\n"
-                + "X-Deadline-Ms: 9000\r\n";
-        String hidden = "GET /api HTTP/1.1\r\nHost: h\r\nX-Request-Id: b\r\nX-Class: safe\r\n"
-                + "X-Deadline-Ms: 9000\r\n\r\n";
+        String post =
+                "POST /api HTTP/1.1\r\nHost: h\r\nX-Request-Id: a\r\nX-Class: unsafe\r\n" + "X-Deadline-Ms: 9000\r\n";
+        String hidden =
+                "GET /api HTTP/1.1\r\nHost: h\r\nX-Request-Id: b\r\nX-Class: safe\r\n" + "X-Deadline-Ms: 9000\r\n\r\n";
         Map<String, Integer> bad = new LinkedHashMap<>();
         bad.put(post + "Content-Length: 0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400);
         bad.put(post + "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\n", 400);
@@ -141,8 +141,7 @@
         start("", Peers.host("s", host.address(), "in_service"));
         module.onRequest = r -> module.actions.send(r.id(), "s", 0);
         Client client = client().unsafe("a", 20_000)
-                .write("POST /api HTTP/1.1\r\nHost: h\r\nContent-Length: 60000000\r\n\r\n"
-                        + "x".repeat(300_000));
+                .write("POST /api HTTP/1.1\r\nHost: h\r\nContent-Length: 60000000\r\n\r\n" + "x".repeat(300_000));
         Peers.next(out, "the first request").served("mine");
         assertEquals("mine", client.read().text());
         assertEquals(413, client.read().status());
@@ -155,9 +154,10 @@
         Server host = host(out::add);
         start("", Peers.host("s", host.address(), "in_service"));
         module.onRequest = r -> module.actions.send(r.id(), "s", 0);
-        Client client = client().unsafe("a", 20_000).write("POST /api HTTP/1.1\r\nHost: h\r\n"
-                + "X-Request-Id: b\r\nX-Class: unsafe\r\nX-Deadline-Ms: 20000\r\n"
-                + "Expect: 100-continue\r\nContent-Length: 4\r\n\r\n");
+        Client client = client().unsafe("a", 20_000)
+                .write("POST /api HTTP/1.1\r\nHost: h\r\n"
+                        + "X-Request-Id: b\r\nX-Class: unsafe\r\nX-Deadline-Ms: 20000\r\n"
+                        + "Expect: 100-continue\r\nContent-Length: 4\r\n\r\n");
         Peers.next(out, "the first request").served("mine");
         assertEquals("mine", client.read().text());
         assertEquals(100, client.read().status());
@@ -189,7 +189,7 @@
 
     @Test
     void aClientThatLeavesIsMissedThoughItSentMuchAhead() throws Exception {
-        Server host = host(s -> { });
+        Server host = host(s -> {});
         start("", Peers.host("s", host.address(), "in_service"));
         module.onRequest = r -> module.actions.send(r.id(), "s", 0);
         Client client = client();
@@ -219,7 +219,7 @@
 
     @Test
     void aClientThatLeavesTakesItsAttemptAlong() throws Exception {
-        Server host = host(s -> { });
+        Server host = host(s -> {});
         start("", Peers.host("s", host.address(), "in_service"));
         module.onRequest = r -> module.actions.send(r.id(), "s", 0);
         Client client = client().unsafe("id1", 20_000);
@@ -240,18 +240,39 @@
         };
         String head = "Host: h\r\nX-Request-Id: a\r\nX-Class: unsafe\r\n";
         assertEquals(400, client().write("nonsense\r\n\r\n").read().status());
-        assertEquals(404, client().write("GET /other HTTP/1.1\r\nHost: h\r\n\r\n").read().status());
-        assertEquals(400, client().write("POST /api HTTP/1.1\r\nHost: h\r\n\r\n").read().status(), "no id");
+        assertEquals(
+                404,
+                client().write("GET /other HTTP/1.1\r\nHost: h\r\n\r\n").read().status());
+        assertEquals(
+                400,
+                client().write("POST /api HTTP/1.1\r\nHost: h\r\n\r\n").read().status(),
+                "no id");
         String post = "POST /api HTTP/1.1\r\n" + head;
         assertEquals(400, client().write(post + "\r\n").read().status(), "no deadline");
-        assertEquals(400, client().write(post + "X-Deadline-Ms: soon\r\n\r\n").read().status());
-        assertEquals(400, client().write("GET /api HTTP/1.1\r\n" + head + "X-Deadline-Ms: 9\r\n\r\n").read()
-                .status(), "an unsafe GET");
-        assertEquals(400, client().write(post + "X-Deadline-Ms: 9\r\nX-Tenant: ?\r\n\r\n").read().status());
-        assertEquals(400, client().write("POST /api HTTP/1.1\r\nHost: h\r\nX-Request-Id: a\r\nX-Class: ?\r\n"
-                + "X-Deadline-Ms: 9\r\n\r\n").read().status());
-        assertEquals(413, client().write(post + "X-Deadline-Ms: 9\r\n"
-                + "Content-Length: 65537\r\n\r\n").read().status());
+        assertEquals(
+                400, client().write(post + "X-Deadline-Ms: soon\r\n\r\n").read().status());
+        assertEquals(
+                400,
+                client().write("GET /api HTTP/1.1\r\n" + head + "X-Deadline-Ms: 9\r\n\r\n")
+                        .read()
+                        .status(),
+                "an unsafe GET");
+        assertEquals(
+                400,
+                client().write(post + "X-Deadline-Ms: 9\r\nX-Tenant: ?\r\n\r\n")
+                        .read()
+                        .status());
+        assertEquals(
+                400,
+                client().write("POST /api HTTP/1.1\r\nHost: h\r\nX-Request-Id: a\r\nX-Class: ?\r\n"
+                                + "X-Deadline-Ms: 9\r\n\r\n")
+                        .read()
+                        .status());
+        assertEquals(
+                413,
+                client().write(post + "X-Deadline-Ms: 9\r\n" + "Content-Length: 65537\r\n\r\n")
+                        .read()
+                        .status());
         module.onRequest = r -> module.actions.fail(r.id());
         assertEquals(502, client().unsafe("id1", 20_000).read().status(), "and it serves on");
     }
--- a/src/test/java/mulleinfront/proxy/BadHostsTest.java
+++ b/src/test/java/mulleinfront/proxy/BadHostsTest.java
@@ -41,12 +41,16 @@
 
     @Test
     void turnedAwayBy504IsKnownNotToHaveRun() throws Exception {
-        assertEquals(Outcome.QUEUE_FULL, outcome(s -> s.answer(504, "X-Not-Run: 1\r\n", ""), 0).outcome());
+        assertEquals(
+                Outcome.QUEUE_FULL,
+                outcome(s -> s.answer(504, "X-Not-Run: 1\r\n", ""), 0).outcome());
     }
 
     @Test
     void aMarkOnAnErrorProvesNothing() throws Exception {
-        assertEquals(Outcome.FAILED, outcome(s -> s.answer(500, "X-Not-Run: 1\r\n", ""), 0).outcome());
+        assertEquals(
+                Outcome.FAILED,
+                outcome(s -> s.answer(500, "X-Not-Run: 1\r\n", ""), 0).outcome());
     }
 
     @Test
@@ -56,10 +60,15 @@
 
     @Test
     void anAnswerCutShortIsAReset() throws Exception {
-        assertEquals(Outcome.RESET, outcome(s -> {
-            s.write("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf");
-            s.reset();
-        }, 0).outcome());
+        assertEquals(
+                Outcome.RESET,
+                outcome(
+                                s -> {
+                                    s.write("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf");
+                                    s.reset();
+                                },
+                                0)
+                        .outcome());
     }
 
     @Test
--- a/src/test/java/mulleinfront/proxy/DiscoveryTest.java
+++ b/src/test/java/mulleinfront/proxy/DiscoveryTest.java
@@ -26,7 +26,11 @@
     @Test
     void listsReplaceOrAmendAndABrokenWatchIsAFailedCall() throws Exception {
         start("", Peers.host("s", "127.0.0.1:1", "in_service"));
-        assertEquals(200, client().write("GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n").read().status());
+        assertEquals(
+                200,
+                client().write("GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+                        .read()
+                        .status());
         Seen watch = discovery.asked();
         String asked = watch.message().first();
         assertTrue(asked.startsWith("GET /api/targets?watch=1&after=1 "), asked);
@@ -35,7 +39,11 @@
         Discovery.push(watch, "");
         Discovery.push(watch, Peers.list(3, false, Peers.host("t", "127.0.0.1:2", "terminated")));
         assertEquals("DELTA [t 1 GONE]", Peers.next(module.lists, "a change"));
-        assertEquals(503, client().write("GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n").read().status());
+        assertEquals(
+                503,
+                client().write("GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+                        .read()
+                        .status());
         Discovery.push(watch, "{\"version\":4,\"servers\":[{\"id\":7");
         assertEquals("failed", Peers.next(module.lists, "the bad line's failure"));
         watch.awaitEnd();
@@ -56,12 +64,15 @@
     void pushedListsAreWatchedUnasked() throws Exception {
         // Guards deployments whose lists are pushed: there the module never asks, and is told of no failure.
         discovery = keep(new Discovery());
-        String config = Peers.config(0, discovery.server.address(), "", "null")
-                .replace("subscribe", "automatic");
-        proxy = ClientProxy.start(Config.parse(config.getBytes(StandardCharsets.UTF_8)),
-                (settings, seed, now, actions) -> module, starting -> { });
+        String config = Peers.config(0, discovery.server.address(), "", "null").replace("subscribe", "automatic");
+        proxy = ClientProxy.start(
+                Config.parse(config.getBytes(StandardCharsets.UTF_8)),
+                (settings, seed, now, actions) -> module,
+                starting -> {});
         Seen watch = discovery.asked();
-        assertTrue(watch.message().first().startsWith("GET /api/targets?watch=1 "), watch.message().first());
+        assertTrue(
+                watch.message().first().startsWith("GET /api/targets?watch=1 "),
+                watch.message().first());
         watch.reset();
         Discovery.push(discovery.asked(), Peers.list(1, true));
         assertEquals("FULL []", Peers.next(module.lists, "the list"));
@@ -79,11 +90,14 @@
             s.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
             Discovery.push(s, Peers.list(2, true, Peers.host("s", "127.0.0.1:1", "terminating")));
         });
-        String config = Peers.config(0, agent.address(), "", Peers.list(1, true,
-                Peers.host("s", "127.0.0.1:1", "in_service"))).replace("subscribe", "automatic");
+        String config = Peers.config(
+                        0, agent.address(), "", Peers.list(1, true, Peers.host("s", "127.0.0.1:1", "in_service")))
+                .replace("subscribe", "automatic");
         List<String> before = new ArrayList<>();
-        proxy = ClientProxy.start(Config.parse(config.getBytes(StandardCharsets.UTF_8)),
-                (settings, seed, now, actions) -> module, starting -> module.lists.drainTo(before));
+        proxy = ClientProxy.start(
+                Config.parse(config.getBytes(StandardCharsets.UTF_8)),
+                (settings, seed, now, actions) -> module,
+                starting -> module.lists.drainTo(before));
         assertEquals(List.of("CACHED [s 1 READY]", "FULL [s 1 DRAINING]"), before);
     }
 
@@ -126,8 +140,14 @@
         move(other.server.address());
         watch.awaitEnd();
         Seen moved = other.asked();
-        assertTrue(moved.message().first().startsWith("GET /api/targets?watch=1 "), moved.message().first());
-        assertEquals(200, client().write("GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n").read().status(),
+        assertTrue(
+                moved.message().first().startsWith("GET /api/targets?watch=1 "),
+                moved.message().first());
+        assertEquals(
+                200,
+                client().write("GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+                        .read()
+                        .status(),
                 "the old list holds");
         move(other.server.address());
         Discovery.push(moved, Peers.list(2, true, Peers.host("t", "127.0.0.1:1", "in_service")));
@@ -158,9 +178,15 @@
         };
         String host = Peers.host("s", server.address(), "in_service");
         int ids = 0;
-        for (String bad : new String[] {"nonsense", "[]", "{\"version\":9}", "{\"full\":true,\"servers\":[]}",
-            Peers.list(9, true, host).replace("in_service", "asleep"), Peers.list(9, true, host, "7"),
-            Peers.list(9, true, host).substring(0, 60)}) {
+        for (String bad : new String[] {
+            "nonsense",
+            "[]",
+            "{\"version\":9}",
+            "{\"full\":true,\"servers\":[]}",
+            Peers.list(9, true, host).replace("in_service", "asleep"),
+            Peers.list(9, true, host, "7"),
+            Peers.list(9, true, host).substring(0, 60)
+        }) {
             Seen watch = discovery.asked();
             Discovery.push(watch, bad);
             assertEquals("failed", Peers.next(module.lists, bad));
@@ -173,7 +199,10 @@
     }
 
     private static String indented(String list) {
-        return list.replace("{", "{\n  ").replace(",", ",\n  ").replace("[", "[\n ").replace("}", "\n}");
+        return list.replace("{", "{\n  ")
+                .replace(",", ",\n  ")
+                .replace("[", "[\n ")
+                .replace("}", "\n}");
     }
 
     @Test
@@ -183,8 +212,10 @@
         String braces = Peers.host("t}{\\\"]", "127.0.0.1:2", "in_service");
         Discovery.push(watch, indented(Peers.list(2, true, Peers.host("s", "127.0.0.1:1", "in_service"))));
         assertEquals("FULL [s 1 READY]", Peers.next(module.lists, "a list over many lines"));
-        Discovery.push(watch, Peers.list(3, false, braces) + "  "
-                + indented(Peers.list(4, false, Peers.host("s", "127.0.0.1:1", "terminating"))));
+        Discovery.push(
+                watch,
+                Peers.list(3, false, braces) + "  "
+                        + indented(Peers.list(4, false, Peers.host("s", "127.0.0.1:1", "terminating"))));
         assertEquals("DELTA [t}{\"] 1 READY]", Peers.next(module.lists, "the first of two in one line"));
         assertEquals("DELTA [s 1 DRAINING]", Peers.next(module.lists, "the second"));
         for (char c : (Peers.list(5, true, braces).replace(",", ",\n ") + "\n").toCharArray()) {
@@ -237,30 +268,34 @@
         // Guards the end of a drain: a SIGHUP, or the pause after a failed call, may come after it.
         Discovery old = keep(new Discovery());
         Discovery other = keep(new Discovery());
-        Config config = Config.parse(Peers.config(0, old.server.address(), "", "null")
-                .getBytes(StandardCharsets.UTF_8));
+        Config config =
+                Config.parse(Peers.config(0, old.server.address(), "", "null").getBytes(StandardCharsets.UTF_8));
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         keep(() -> group.shutdownGracefully(0, 0, TimeUnit.SECONDS));
         EventLoop loop = group.next();
         loop.submit(() -> {
-            mulleinfront.proxy.Discovery stopped = new mulleinfront.proxy.Discovery(config, loop,
-                    new Upstream(loop, 1, 1, 1), new mulleinfront.proxy.Discovery.Listener() {
-                        @Override
-                        public void listed(Source source, List<Endpoint> endpoints) { }
+                    mulleinfront.proxy.Discovery stopped = new mulleinfront.proxy.Discovery(
+                            config, loop, new Upstream(loop, 1, 1, 1), new mulleinfront.proxy.Discovery.Listener() {
+                                @Override
+                                public void listed(Source source, List<Endpoint> endpoints) {}
 
-                        @Override
-                        public void failed() { }
-                    });
-            stopped.stop();
-            stopped.watch();
-            stopped.move(Config.parse(Peers.config(0, other.server.address(), "", "null")
-                    .getBytes(StandardCharsets.UTF_8)).discovery());
-            return null;
-        }).get();
+                                @Override
+                                public void failed() {}
+                            });
+                    stopped.stop();
+                    stopped.watch();
+                    stopped.move(Config.parse(Peers.config(0, other.server.address(), "", "null")
+                                    .getBytes(StandardCharsets.UTF_8))
+                            .discovery());
+                    return null;
+                })
+                .get();
         // Connections are accepted in the order in which they were made: one of our own comes after any.
         for (Discovery each : List.of(old, other)) {
             keep(new Client(each.server.socket.getLocalPort())).write("GET /last HTTP/1.1\r\n\r\n");
-            assertEquals("GET /last HTTP/1.1", Peers.next(each.server.seen, "ours").message().first());
+            assertEquals(
+                    "GET /last HTTP/1.1",
+                    Peers.next(each.server.seen, "ours").message().first());
             assertEquals(1, each.server.connections.size());
         }
     }
--- a/src/test/java/mulleinfront/proxy/FrontendTest.java
+++ b/src/test/java/mulleinfront/proxy/FrontendTest.java
@@ -25,30 +25,38 @@
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         EventLoop loop = group.next();
         try {
-            Frontend frontend = loop.submit(() -> new Frontend(new Frontend.Desk() {
-                @Override
-                public long now() {
-                    return System.nanoTime() / 1000;
-                }
+            Frontend frontend = loop.submit(() -> new Frontend(
+                            new Frontend.Desk() {
+                                @Override
+                                public long now() {
+                                    return System.nanoTime() / 1000;
+                                }
 
-                @Override
-                public void take(Frontend.Client client, HttpRequest in, byte[] body, long at) {
-                    // Long after the slow one's time is up.
-                    loop.schedule(() -> client.answer(HttpResponseStatus.OK), 900, TimeUnit.MILLISECONDS);
-                }
+                                @Override
+                                public void take(Frontend.Client client, HttpRequest in, byte[] body, long at) {
+                                    // Long after the slow one's time is up.
+                                    loop.schedule(
+                                            () -> client.answer(HttpResponseStatus.OK), 900, TimeUnit.MILLISECONDS);
+                                }
 
-                @Override
-                public Frontend.Terms terms() {
-                    return new Frontend.Terms(8, 8_192, 8_192, 30_000, 100);
-                }
-            }, loop)).get();
-            loop.submit(() -> frontend.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))).get().await();
+                                @Override
+                                public Frontend.Terms terms() {
+                                    return new Frontend.Terms(8, 8_192, 8_192, 30_000, 100);
+                                }
+                            },
+                            loop))
+                    .get();
+            loop.submit(() -> frontend.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)))
+                    .get()
+                    .await();
             try (Socket s = new Socket(InetAddress.getLoopbackAddress(), frontend.port())) {
                 s.setSoTimeout(10_000);
-                s.getOutputStream().write(("GET /a HTTP/1.1\r\nHost: h\r\n\r\nPOST /b HTTP/1.1\r\nHost: h\r\n"
-                        + "Content-Length: 10\r\n\r\n12345").getBytes(StandardCharsets.US_ASCII));
-                BufferedReader in = new BufferedReader(
-                        new InputStreamReader(s.getInputStream(), StandardCharsets.US_ASCII));
+                s.getOutputStream()
+                        .write(("GET /a HTTP/1.1\r\nHost: h\r\n\r\nPOST /b HTTP/1.1\r\nHost: h\r\n"
+                                        + "Content-Length: 10\r\n\r\n12345")
+                                .getBytes(StandardCharsets.US_ASCII));
+                BufferedReader in =
+                        new BufferedReader(new InputStreamReader(s.getInputStream(), StandardCharsets.US_ASCII));
                 assertEquals("HTTP/1.1 200 OK", in.readLine());
             }
         } finally {
--- a/src/test/java/mulleinfront/proxy/LeavingTest.java
+++ b/src/test/java/mulleinfront/proxy/LeavingTest.java
@@ -51,8 +51,7 @@
         assertEquals(200, reset.unsafe("second", 20_000).read().status());
         host.seen.clear();
         Client standing = client();
-        CountDownLatch goOn = stand(standing, () ->
-                module.onRequest = next -> module.actions.send(next.id(), "s", 0));
+        CountDownLatch goOn = stand(standing, () -> module.onRequest = next -> module.actions.send(next.id(), "s", 0));
         kept.unsafe("on a kept connection", 20_000).close();
         reset.unsafe("reset", 20_000).socket.setSoLinger(true, 0);
         reset.close();
@@ -105,11 +104,13 @@
                 client.close();
                 assertEquals("late", Peers.next(module.gone, "the client's leaving"));
                 if (cancels) {
-                    assertEquals(Outcome.CANCELED, Peers.next(module.ends, "the end").outcome());
+                    assertEquals(
+                            Outcome.CANCELED, Peers.next(module.ends, "the end").outcome());
                 } else {
                     deaf.hear();
                     assertTrue(deaf.silent(), "nothing was written");
-                    assertEquals(Outcome.IGNORED, Peers.next(module.ends, "the end").outcome());
+                    assertEquals(
+                            Outcome.IGNORED, Peers.next(module.ends, "the end").outcome());
                 }
                 proxy.drain();
             }
@@ -122,8 +123,13 @@
         BlockingQueue<Seen> out = new LinkedBlockingQueue<>();
         Server first = host(out::add);
         Seen watch = discovery.asked();
-        Discovery.push(watch, Peers.list(2, true, Peers.host("s", host.address(), "in_service"),
-                Peers.host("t", first.address(), "in_service")));
+        Discovery.push(
+                watch,
+                Peers.list(
+                        2,
+                        true,
+                        Peers.host("s", host.address(), "in_service"),
+                        Peers.host("t", first.address(), "in_service")));
         Peers.next(module.lists, "the list");
         module.onRequest = r -> module.actions.send(r.id(), "t", 0);
         Client client = client().unsafe("twice", 20_000);
--- a/src/test/java/mulleinfront/proxy/Peers.java
+++ b/src/test/java/mulleinfront/proxy/Peers.java
@@ -40,8 +40,11 @@
     /** A message as it came: its first line and headers in lower case names, and its body. */
     record Message(String first, List<String> headers, byte[] body) {
         String header(String name) {
-            return headers.stream().filter(h -> h.toLowerCase(Locale.ROOT).startsWith(name + ":"))
-                    .map(h -> h.substring(name.length() + 1).strip()).findFirst().orElse(null);
+            return headers.stream()
+                    .filter(h -> h.toLowerCase(Locale.ROOT).startsWith(name + ":"))
+                    .map(h -> h.substring(name.length() + 1).strip())
+                    .findFirst()
+                    .orElse(null);
         }
 
         String text() {
@@ -63,7 +66,8 @@
             }
             head.write(b);
         }
-        List<String> lines = List.of(head.toString(StandardCharsets.ISO_8859_1).strip().split("\r\n"));
+        List<String> lines =
+                List.of(head.toString(StandardCharsets.ISO_8859_1).strip().split("\r\n"));
         Message bare = new Message(lines.get(0), lines.subList(1, lines.size()), new byte[0]);
         String stated = bare.header("content-length");
         int length = stated == null ? 0 : Integer.parseInt(stated);
@@ -143,8 +147,7 @@
         }
 
         void answer(int status, String headers, String body) {
-            write("HTTP/1.1 " + status + " x\r\n" + headers + "Content-Length: " + body.length() + "\r\n\r\n"
-                    + body);
+            write("HTTP/1.1 " + status + " x\r\n" + headers + "Content-Length: " + body.length() + "\r\n\r\n" + body);
         }
 
         void served(String body) {
@@ -271,7 +274,7 @@
 
     /** Discovery: answers a watch when the test asks for it, and leaves it open for {@link #push}. */
     static final class Discovery implements AutoCloseable {
-        final Server server = new Server(seen -> { });
+        final Server server = new Server(seen -> {});
 
         Discovery() throws IOException {}
 
@@ -297,8 +300,7 @@
     }
 
     static String list(int version, boolean full, String... hosts) {
-        return "{\"version\":" + version + ",\"full\":" + full + ",\"servers\":["
-                + String.join(",", hosts) + "]}";
+        return "{\"version\":" + version + ",\"full\":" + full + ",\"servers\":[" + String.join(",", hosts) + "]}";
     }
 
     /** A configuration; {@code limits} are further ones, each with a comma before it. */
--- a/src/test/java/mulleinfront/proxy/ProxyRig.java
+++ b/src/test/java/mulleinfront/proxy/ProxyRig.java
@@ -37,15 +37,17 @@
         final BlockingQueue<String> lists = new LinkedBlockingQueue<>();
         final BlockingQueue<String> gone = new LinkedBlockingQueue<>();
         final BlockingQueue<Outcome> probes = new LinkedBlockingQueue<>();
-        volatile Consumer<Request> onRequest = r -> { };
-        volatile Consumer<AttemptEnd> onEnd = e -> { };
+        volatile Consumer<Request> onRequest = r -> {};
+        volatile Consumer<AttemptEnd> onEnd = e -> {};
         volatile boolean cancels = true;
         volatile Actions actions;
 
         @Override
         public void onEndpoints(long now, Source source, List<Endpoint> endpoints) {
-            lists.add(source + " " + endpoints.stream().map(
-                    e -> e.id() + " " + e.zone() + " " + e.availability()).toList());
+            lists.add(source + " "
+                    + endpoints.stream()
+                            .map(e -> e.id() + " " + e.zone() + " " + e.availability())
+                            .toList());
         }
 
         @Override
@@ -67,7 +69,7 @@
         }
 
         @Override
-        public void onStreamStarted(long now, String requestId, int attempt) { }
+        public void onStreamStarted(long now, String requestId, int attempt) {}
 
         @Override
         public void onAttemptEnded(long now, AttemptEnd end) {
@@ -81,23 +83,26 @@
         }
 
         @Override
-        public void onTimer(long now) { }
+        public void onTimer(long now) {}
     }
 
     void start(String limits, String... hosts) throws Exception {
-        start(starting -> { }, limits, hosts);
+        start(starting -> {}, limits, hosts);
     }
 
     void start(Consumer<ClientProxy> listening, String limits, String... hosts) throws Exception {
         discovery = keep(new Discovery());
         String known = Peers.list(1, true, hosts);
-        Config config = Config.parse(Peers.config(0, discovery.server.address(), limits, known)
-                .getBytes(StandardCharsets.UTF_8));
-        proxy = ClientProxy.start(config, (settings, seed, now, actions) -> {
-            module.actions = actions;
-            actions.subscribe();
-            return module;
-        }, listening);
+        Config config = Config.parse(
+                Peers.config(0, discovery.server.address(), limits, known).getBytes(StandardCharsets.UTF_8));
+        proxy = ClientProxy.start(
+                config,
+                (settings, seed, now, actions) -> {
+                    module.actions = actions;
+                    actions.subscribe();
+                    return module;
+                },
+                listening);
         assertTrue(Peers.next(module.lists, "the list known").startsWith("CACHED"));
     }
 
--- a/src/test/java/mulleinfront/proxy/ProxyTest.java
+++ b/src/test/java/mulleinfront/proxy/ProxyTest.java
@@ -18,7 +18,6 @@
 import java.util.concurrent.atomic.AtomicLong;
 import mulleinfront.Balancer.AttemptEnd;
 import mulleinfront.Balancer.Outcome;
-import mulleinfront.Balancer.Request;
 import mulleinfront.proxy.Peers.Client;
 import mulleinfront.proxy.Peers.Deaf;
 import mulleinfront.proxy.Peers.Discovery;
@@ -41,7 +40,8 @@
         start("", Peers.host("s", host.address(), "in_service"));
         module.onRequest = r -> module.actions.send(r.id(), "s", 0);
         Message answer = client().write("POST /api HTTP/1.1\r\nHost: h\r\nX-Request-Id: a\r\n"
-                + "X-Class: unsafe\r\nX-Deadline-Ms: 20000\r\nContent-Length: 65536\r\n\r\n" + most).read();
+                        + "X-Class: unsafe\r\nX-Deadline-Ms: 20000\r\nContent-Length: 65536\r\n\r\n" + most)
+                .read();
         assertEquals(200, answer.status());
         assertEquals(most, answer.text());
     }
@@ -91,7 +91,7 @@
     @Test
     void whatIsOpenWhenADrainBeginsIsAnsweredBeforeSigkill() throws Exception {
         // Guards classes whose deadline is longer than the time until SIGKILL: 20 s here, against 3.7 s.
-        Server host = host(s -> { });
+        Server host = host(s -> {});
         start("", Peers.host("s", host.address(), "in_service"));
         BlockingQueue<String> taken = new LinkedBlockingQueue<>();
         module.onRequest = r -> {
@@ -127,8 +127,11 @@
     void anAddressStillInUseIsWaitedFor() throws Exception {
         discovery = keep(new Peers.Discovery());
         ServerSocket last = keep(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
-        Config config = Config.parse(Peers.config(last.getLocalPort(), discovery.server.address(), "",
-                Peers.list(1, true, Peers.host("s", "127.0.0.1:1", "in_service")))
+        Config config = Config.parse(Peers.config(
+                        last.getLocalPort(),
+                        discovery.server.address(),
+                        "",
+                        Peers.list(1, true, Peers.host("s", "127.0.0.1:1", "in_service")))
                 .getBytes(StandardCharsets.UTF_8));
         Thread going = new Thread(() -> {
             try {
@@ -138,11 +141,14 @@
                 throw new AssertionError(e);
             }
         });
-        proxy = ClientProxy.start(config, (settings, seed, now, actions) -> {
-            module.actions = actions;
-            going.start();
-            return module;
-        }, starting -> { });
+        proxy = ClientProxy.start(
+                config,
+                (settings, seed, now, actions) -> {
+                    module.actions = actions;
+                    going.start();
+                    return module;
+                },
+                starting -> {});
         module.onRequest = r -> module.actions.refuse(r.id(), 0);
         assertEquals(503, client().unsafe("id1", 20_000).read().status());
     }
@@ -155,7 +161,8 @@
             module.onRequest = r -> module.actions.send(r.id(), "s", 100_000);
             module.onEnd = e -> module.actions.refuse(e.requestId(), 0);
             assertEquals(503, client().unsafe("id1", 20_000).read().status());
-            assertEquals(Outcome.CONNECT_ERROR, Peers.next(module.ends, "the end").outcome());
+            assertEquals(
+                    Outcome.CONNECT_ERROR, Peers.next(module.ends, "the end").outcome());
         }
     }
 
@@ -185,14 +192,16 @@
     @Test
     void aRequestIsServedUnchanged() throws Exception {
         String body = "\0\r\n\u00ff binary";
-        Server host = host(s -> s.answer(200, "Content-Type: a/b\r\n", s.message().text() + "!"));
+        Server host =
+                host(s -> s.answer(200, "Content-Type: a/b\r\n", s.message().text() + "!"));
         start("", Peers.host("s", host.address(), "in_service"));
         module.onRequest = r -> module.actions.send(r.id(), "s", 0);
         Message answer = client().write("POST /api/x?q=%20a&b HTTP/1.1\r\nHost: origin.svc\r\n"
-                + "X-Request-Id: id1\r\nX-Class: keyed\r\nX-Tenant: acme\r\nX-Key: k\r\n"
-                + "X-Deadline-Ms: 20000\r\n"
-                + "Idempotency-Key: i-k\r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\n"
-                + "Content-Length: " + body.length() + "\r\n\r\n" + body).read();
+                        + "X-Request-Id: id1\r\nX-Class: keyed\r\nX-Tenant: acme\r\nX-Key: k\r\n"
+                        + "X-Deadline-Ms: 20000\r\n"
+                        + "Idempotency-Key: i-k\r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\n"
+                        + "Content-Length: " + body.length() + "\r\n\r\n" + body)
+                .read();
         Message seen = Peers.next(host.seen, "the request").message();
         assertEquals("POST /api/x?q=%20a&b HTTP/1.1", seen.first());
         assertEquals("id1", seen.header("x-request-id"));
@@ -240,10 +249,9 @@
     @Test
     void theNextAttemptGoesOutOnlyAfterTheLastIsClosed() throws Exception {
         // Guards "at most one attempt at a time": the host told of the second must have lost the first.
-        Server silent = host(s -> { });
+        Server silent = host(s -> {});
         Server other = host(s -> s.served("x"));
-        start("", Peers.host("s", silent.address(), "in_service"),
-                Peers.host("t", other.address(), "in_service"));
+        start("", Peers.host("s", silent.address(), "in_service"), Peers.host("t", other.address(), "in_service"));
         module.onRequest = r -> module.actions.send(r.id(), "s", 50_000);
         module.onEnd = e -> {
             if (e.attempt() == 0) {
@@ -257,10 +265,9 @@
 
     @Test
     void aSecondCopyIsNotSent() throws Exception {
-        Server silent = host(s -> { });
+        Server silent = host(s -> {});
         Server other = host(s -> s.served("x"));
-        start("", Peers.host("s", silent.address(), "in_service"),
-                Peers.host("t", other.address(), "in_service"));
+        start("", Peers.host("s", silent.address(), "in_service"), Peers.host("t", other.address(), "in_service"));
         module.onRequest = r -> {
             module.actions.send(r.id(), "s", 0);
             module.actions.send(r.id(), "t", 0);
@@ -275,7 +282,7 @@
     @Test
     void aCancelledAttemptIsClosedAndOnlyThatOne() throws Exception {
         // Guards the numbering: a second copy that was not sent has a number, and is not the one that is out.
-        Server host = host(s -> { });
+        Server host = host(s -> {});
         start("", Peers.host("s", host.address(), "in_service"));
         module.onRequest = r -> {
             module.actions.send(r.id(), "s", 0);
@@ -290,7 +297,9 @@
             }
         };
         assertEquals(502, client().unsafe("id1", 20_000).read().status());
-        assertEquals(Outcome.IGNORED, Peers.next(module.ends, "the second copy's end").outcome());
+        assertEquals(
+                Outcome.IGNORED,
+                Peers.next(module.ends, "the second copy's end").outcome());
         AttemptEnd end = Peers.next(module.ends, "the first's end");
         assertEquals(0, end.attempt());
         assertEquals(Outcome.CANCELED, end.outcome());
@@ -300,7 +309,7 @@
 
     @Test
     void theClientHasAnAnswerInTimeWhateverTheModuleDoes() throws Exception {
-        Server host = host(s -> { });
+        Server host = host(s -> {});
         start("", Peers.host("s", host.address(), "in_service"));
         // Held for ever, with no attempt: a refusal is true. With one out, only for what is safe to repeat.
         Message held = client().unsafe("held", 300).read();
@@ -339,8 +348,7 @@
 
     @Test
     void probesTellOfAHost() throws Exception {
-        Server host = host(s -> s.answer(
-                s.message().first().startsWith("GET /-/healthy ") ? 200 : 404, "", ""));
+        Server host = host(s -> s.answer(s.message().first().startsWith("GET /-/healthy ") ? 200 : 404, "", ""));
         start("", Peers.host("s", host.address(), "in_service"));
         module.onRequest = r -> {
             module.actions.probe("s");
--- a/src/test/java/mulleinfront/proxy/CrossingTest.java
+++ b/src/test/java/mulleinfront/proxy/RaceTest.java
@@ -16,7 +16,7 @@
 import org.junit.jupiter.api.Test;
 
 /** News that meets a request, an answer or a signal on its way, each forced where two could cross. */
-class CrossingTest extends ProxyRig {
+class RaceTest extends ProxyRig {
     private static final String READY = "GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n";
     private volatile String late;
 
@@ -57,7 +57,7 @@
         Client client = client().unsafe("met", 20_000);
         Seen attempt = Peers.next(out, "the attempt");
         Client other = client();
-        CountDownLatch goOn = stand(other, () -> { });
+        CountDownLatch goOn = stand(other, () -> {});
         Thread.sleep(400); // the attempt's time runs out while nothing is looked at
         attempt.served("x");
         goOn.countDown();
@@ -166,7 +166,7 @@
         Discovery other = keep(new Discovery());
         start("", Peers.host("s", "127.0.0.1:1", "in_service"));
         discovery.asked();
-        module.onRequest = r -> { };
+        module.onRequest = r -> {};
         client().unsafe("open", 20_000);
         proxy.drain();
         move(other.server.address());
--- a/src/test/java/mulleinfront/proxy/ServeTest.java
+++ b/src/test/java/mulleinfront/proxy/ServeTest.java
@@ -43,13 +43,17 @@
             known.add(Peers.host("s" + known.size(), host.address(), "in_service"));
         }
         int port = freePort();
-        launch(Peers.config(port, discovery.server.address(), "",
-                Peers.list(1, true, known.toArray(String[]::new))), ProcessBuilder.Redirect.INHERIT);
+        launch(
+                Peers.config(port, discovery.server.address(), "", Peers.list(1, true, known.toArray(String[]::new))),
+                ProcessBuilder.Redirect.INHERIT);
         Discovery.push(discovery.asked(), Peers.list(2, true, known.toArray(String[]::new)));
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(Peers.PATIENCE_S);
         while (System.nanoTime() < end) {
             try (Client client = new Client(port)) {
-                if (client.write("GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n").read().status() == 200) {
+                if (client.write("GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+                                .read()
+                                .status()
+                        == 200) {
                     return port;
                 }
             } catch (IOException e) {
@@ -76,8 +80,12 @@
         Path file = folder.resolve("config.json");
         Files.writeString(file, config);
         ProcessBuilder builder = new ProcessBuilder(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1",
-                "-cp", System.getProperty("java.class.path"), "mulleinfront.Main", "serve")
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-XX:TieredStopAtLevel=1",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        "mulleinfront.Main",
+                        "serve")
                 .redirectError(errors);
         builder.environment().put("NODE_CONFIG", file.toString());
         process = builder.start();
@@ -142,7 +150,9 @@
             }
         });
         int port = start(host);
-        try (Client kept = new Client(port); Client out = new Client(port); Client idle = new Client(port)) {
+        try (Client kept = new Client(port);
+                Client out = new Client(port);
+                Client idle = new Client(port)) {
             // Enough of them for the module to know that an answer takes less than the time until SIGKILL.
             for (int i = 0; i < 200; i++) {
                 assertEquals(200, kept.unsafe("before" + i, 20_000).read().status());
@@ -200,7 +210,9 @@
     }
 
     private void hangUp() throws Exception {
-        assertEquals(0, new ProcessBuilder("kill", "-HUP", "" + process.pid()).start().waitFor());
+        assertEquals(
+                0,
+                new ProcessBuilder("kill", "-HUP", "" + process.pid()).start().waitFor());
         // Signals of one kind that are still pending are one: only the last of them is sure to be seen.
         Thread.sleep(50);
     }
@@ -208,7 +220,12 @@
     @Test
     void aBadConfigurationIsOnePlainLine() throws Exception {
         String good = Peers.config(1, "127.0.0.1:1", "", "null");
-        for (String config : List.of("{", "7", "{\"listen\":\"here\"}", "{}", "{\"settings\":5}",
+        for (String config : List.of(
+                "{",
+                "7",
+                "{\"listen\":\"here\"}",
+                "{}",
+                "{\"settings\":5}",
                 good.replace("{\"cores\"", "5,\"x\":{\"cores\""),
                 good.replace("8c1f30d27a5be964", "x"),
                 good.replace("\"maxAttempts\":4", "\"maxAttempts\":0"))) {
@@ -216,8 +233,7 @@
             assertThrows(Exception.class, () -> Config.parse(bytes), config);
         }
         File errors = folder.resolve("errors").toFile();
-        launch(good.replace("\"effect\":\"retryable\"", "\"effect\":\"odd\""),
-                ProcessBuilder.Redirect.to(errors));
+        launch(good.replace("\"effect\":\"retryable\"", "\"effect\":\"odd\""), ProcessBuilder.Redirect.to(errors));
         assertTrue(process.waitFor(Peers.PATIENCE_S, TimeUnit.SECONDS));
         assertEquals(1, process.exitValue());
         assertEquals("mulleinfront: settings: safe: unknown effect odd\n", Files.readString(errors.toPath()));
@@ -227,8 +243,7 @@
     void aPortInUseIsOnePlainLine() throws Exception {
         try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             File errors = folder.resolve("errors").toFile();
-            launch(Peers.config(taken.getLocalPort(), "127.0.0.1:1", "", "null"),
-                    ProcessBuilder.Redirect.to(errors));
+            launch(Peers.config(taken.getLocalPort(), "127.0.0.1:1", "", "null"), ProcessBuilder.Redirect.to(errors));
             assertTrue(process.waitFor(Peers.PATIENCE_S, TimeUnit.SECONDS));
             assertFalse(process.exitValue() == 0);
             List<String> lines = Files.readAllLines(errors.toPath());
--- /dev/null
+++ b/src/test/java/quartzspan/ArchitectureTest.java
@@ -0,0 +1,81 @@
+package quartzspan;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.junit.jupiter.api.Test;
+
+/** Who may import whom: docs/design/fleet.md has the picture. */
+class ArchitectureTest {
+    private static final JavaClasses ALL = new ClassFileImporter()
+            .withImportOption(new ImportOption.DoNotIncludeTests())
+            .importPackages("quartzspan", "mulleinfront");
+
+    @Test
+    void theModuleKnowsNobody() {
+        noClasses()
+                .that()
+                .resideInAPackage("mulleinfront")
+                .and()
+                .haveSimpleNameNotContaining("Main")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage("quartzspan..", "mulleinfront.proxy", "io.netty..", "java.net..")
+                .check(ALL);
+    }
+
+    @Test
+    void theOldProgramKnowsNothingOfTheFleet() {
+        noClasses()
+                .that()
+                .resideInAPackage("mulleinfront..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAPackage("quartzspan..")
+                .check(ALL);
+    }
+
+    @Test
+    void controlLogicHasNoIo() {
+        noClasses()
+                .that()
+                .resideInAnyPackage("quartzspan.replication", "quartzspan.registry", "quartzspan.promptindex")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage(
+                        "io.netty..",
+                        "java.net..",
+                        "java.nio.file..",
+                        "quartzspan.transport..",
+                        "quartzspan.frontend..",
+                        "quartzspan.controlplane..")
+                .check(ALL);
+    }
+
+    @Test
+    void programsKnowLibrariesAndNotEachOther() {
+        noClasses()
+                .that()
+                .resideInAPackage("quartzspan.frontend")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage("quartzspan.controlplane")
+                .check(ALL);
+        noClasses()
+                .that()
+                .resideInAPackage("quartzspan.controlplane")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage("quartzspan.frontend")
+                .check(ALL);
+        noClasses()
+                .that()
+                .resideInAnyPackage("quartzspan.store", "quartzspan.configuration", "quartzspan.common")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage("quartzspan.replication..", "quartzspan.registry..", "io.netty..")
+                .check(ALL);
+    }
+}
--- a/src/test/java/quartzspan/clerk/ClerkTest.java
+++ b/src/test/java/quartzspan/cli/CommandLineTest.java
@@ -1,4 +1,4 @@
-package quartzspan.clerk;
+package quartzspan.cli;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -14,9 +14,10 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /** What the command line says and how it ends. */
-class ClerkTest {
+class CommandLineTest {
     @TempDir
     Path folder;
+
     private final ByteArrayOutputStream out = new ByteArrayOutputStream();
 
     private int run(String... args) {
--- /dev/null
+++ b/src/test/java/quartzspan/common/SettingsTest.java
@@ -0,0 +1,83 @@
+package quartzspan.common;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** The settings file: what is taken, and what is refused by its name. */
+class SettingsTest {
+    private static final String GOOD = String.join(
+            "\n",
+            "node_name: \"n1\"",
+            "ip_address: \"10.1.0.23\"",
+            "zone: \"z\"",
+            "zones:",
+            "  z: \"r\"",
+            "listen_addresses:",
+            "  frontend: \"10.1.0.23:8167\"",
+            "internal_ports:",
+            "  - 7640",
+            "  - 7655",
+            "seed_nodes:",
+            "  - \"10.1.0.25:8169\"",
+            "bootstrap: true",
+            "limits:",
+            "  memory_mb: 430",
+            "  file_descriptors: 4100",
+            "data_directory: null",
+            "heartbeat_ms: 1200",
+            "fault_tolerance:",
+            "  machines: 1",
+            "bounds:",
+            "  grace_period_s: 8",
+            "  retry_budget_ratio: 0.2",
+            "  later: 3",
+            "unheard_of:",
+            "  - 1",
+            "");
+
+    @Test
+    void unknownFieldsAreIgnored() {
+        Settings s = Settings.parse(GOOD);
+        assertEquals(
+                "10.1.0.23:7640",
+                s.internal().getHostString() + ':' + s.internal().getPort());
+        assertEquals(1, s.losses());
+        assertEquals(0.2, s.bounds().retryBudgetRatio());
+        assertNull(s.dataDirectory());
+        assertTrue(assertThrows(FleetException.class, s::disk).getMessage().contains("data_directory"));
+        assertEquals(
+                FleetException.Code.SETTINGS_INVALID,
+                FleetException.in(new java.util.concurrent.ExecutionException(
+                                assertThrows(FleetException.class, s::disk)))
+                        .code(),
+                "also where the loop was asked");
+        assertNull(FleetException.in(new IllegalStateException("no refusal")));
+        assertTrue(assertThrows(FleetException.class, () -> s.listens("control_plane"))
+                .getMessage()
+                .contains("control_plane"));
+    }
+
+    @Test
+    void whatIsMissingOrAbsurdIsRefusedByName() {
+        for (String[] bad : List.of(
+                new String[] {"node_name: \"n1\"", "", "node_name"},
+                new String[] {"  - 7640", "  - 99999", "internal_ports"},
+                new String[] {"  - 7655", "  - 7000", "internal_ports"},
+                new String[] {"\"10.1.0.25:8169\"", "\"somewhere:1\"", "seed_nodes"},
+                new String[] {"memory_mb: 430", "memory_mb: 0", "limits.memory_mb"},
+                new String[] {"bootstrap: true", "bootstrap: 3", "bootstrap"},
+                new String[] {"grace_period_s: 8", "grace_period_s: -8", "bounds.grace_period_s"},
+                new String[] {"zones:\n  z: \"r\"", "zones: 3", "zones"},
+                new String[] {"limits:", "limits: [", "the file"})) {
+            FleetException why =
+                    assertThrows(FleetException.class, () -> Settings.parse(GOOD.replace(bad[0], bad[1])), bad[2]);
+            assertTrue(why.getMessage().startsWith(bad[2]), why.getMessage());
+            assertEquals(FleetException.Code.SETTINGS_INVALID, why.code());
+        }
+    }
+}
--- a/src/test/java/quartzspan/manifest/ManifestTest.java
+++ b/src/test/java/quartzspan/configuration/ConfigurationTest.java
@@ -1,4 +1,4 @@
-package quartzspan.manifest;
+package quartzspan.configuration;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -8,10 +8,10 @@
 
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.Test;
-import quartzspan.papers.Refusal;
+import quartzspan.common.FleetException;
 
 /** What the operators' configurations may and may not be. */
-class ManifestTest {
+class ConfigurationTest {
     private static final String GOOD = "{'version':7,'routes':[{'name':'a','hostname':'H.example','path_prefix':'/x/',"
             + "'route_type':'streaming','timeout_ms':3000,'service':'s','resumable':true},{'name':'b','hostname':'h.example',"
             + "'path_prefix':'/x/y/','route_type':'mutating','timeout_ms':10,'traffic_split':[{'service':'s','weight':0},"
@@ -22,13 +22,13 @@
         return text.replace('\'', '"').getBytes(StandardCharsets.UTF_8);
     }
 
-    private static Refusal refused(String text) {
-        return assertThrows(Refusal.class, () -> Manifest.read(json(text)));
+    private static FleetException refused(String text) {
+        return assertThrows(FleetException.class, () -> Configuration.read(json(text)));
     }
 
     @Test
     void theLongestPrefixOfAHostIsTheRoute() {
-        Manifest m = Manifest.read(json(GOOD));
+        Configuration m = Configuration.read(json(GOOD));
         assertEquals("a", m.route("h.example", "/x/z").name());
         assertEquals("b", m.route("h.example", "/x/y/z").name());
         assertNull(m.route("h.example", "/x"));
@@ -40,35 +40,48 @@
 
     @Test
     void whatWasSentIsKeptToTheLetter() {
-        assertEquals(GOOD.replace('\'', '"'), new String(Manifest.read(json(GOOD)).bytes(), StandardCharsets.UTF_8));
+        assertEquals(
+                GOOD.replace('\'', '"'),
+                new String(Configuration.read(json(GOOD)).bytes(), StandardCharsets.UTF_8));
     }
 
     @Test
     void eachKindOfInvalidOneIsRefusedByName() {
-        assertTrue(refused(GOOD.replace("'service':'s'", "'service':'z'")).getMessage().contains("unknown service z"));
-        assertTrue(refused(GOOD.replace("/x/y/", "/x/").replace("'h.example'", "'H.example'")).getMessage().contains("share host"));
-        assertTrue(refused(GOOD.replace("'weight':2", "'weight':0")).getMessage().contains("add up to 0"));
-        assertTrue(refused(GOOD.replace("'timeout_ms':10", "'timeout_ms':0")).getMessage().contains("timeout_ms"));
+        assertTrue(refused(GOOD.replace("'service':'s'", "'service':'z'"))
+                .getMessage()
+                .contains("unknown service z"));
+        assertTrue(refused(GOOD.replace("/x/y/", "/x/").replace("'h.example'", "'H.example'"))
+                .getMessage()
+                .contains("share host"));
+        assertTrue(
+                refused(GOOD.replace("'weight':2", "'weight':0")).getMessage().contains("add up to 0"));
+        assertTrue(refused(GOOD.replace("'timeout_ms':10", "'timeout_ms':0"))
+                .getMessage()
+                .contains("timeout_ms"));
         assertTrue(refused(GOOD.replace("'version':7,", "")).getMessage().contains("version"));
-        assertTrue(refused(GOOD.replace("}],'note'", "},{'name':'u','api_keys':['k1']}],'note'")).getMessage()
+        assertTrue(refused(GOOD.replace("}],'note'", "},{'name':'u','api_keys':['k1']}],'note'"))
+                .getMessage()
                 .contains("share a key"));
-        assertEquals(Refusal.Code.CONFIG_UNREADABLE, refused("[1]").code());
+        assertEquals(FleetException.Code.CONFIG_UNREADABLE, refused("[1]").code());
         byte[] good = json(GOOD);
         for (int cut = 0; cut < good.length - 1; cut++) {
             byte[] part = java.util.Arrays.copyOf(good, cut);
-            assertThrows(Refusal.class, () -> Manifest.read(part), "cut at " + cut);
+            assertThrows(FleetException.class, () -> Configuration.read(part), "cut at " + cut);
         }
     }
 
     @Test
     void namedItemsAreAddedReplacedAndRemoved() {
-        Manifest m = Manifest.read(json(GOOD)).updated(Manifest.json(json("{'version':9,'upsert':{'routes':[{'name':'a',"
-                + "'hostname':'h.example','path_prefix':'/n/','route_type':'read_only','timeout_ms':5,'service':'s'}]},"
-                + "'remove':{'routes':['b','never'],'tenants':['t']}}")));
+        Configuration m = Configuration.read(json(GOOD))
+                .updated(Configuration.json(json("{'version':9,'upsert':{'routes':[{'name':'a',"
+                        + "'hostname':'h.example','path_prefix':'/n/','route_type':'read_only','timeout_ms':5,'service':'s'}]},"
+                        + "'remove':{'routes':['b','never'],'tenants':['t']}}")));
         assertEquals(9, m.version());
         assertEquals("a", m.route("h.example", "/n/").name());
         assertNull(m.route("h.example", "/x/y/z"));
         assertNull(m.tenant("k1"));
-        assertThrows(Refusal.class, () -> m.updated(Manifest.json(json("{'version':10,'remove':{'services':['s']}}"))));
+        assertThrows(
+                FleetException.class,
+                () -> m.updated(Configuration.json(json("{'version':10,'remove':{'services':['s']}}"))));
     }
 }
--- a/src/test/java/quartzspan/warehouse/StockTest.java
+++ b/src/test/java/quartzspan/promptindex/PromptIndexTest.java
@@ -1,4 +1,4 @@
-package quartzspan.warehouse;
+package quartzspan.promptindex;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -6,24 +6,25 @@
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import quartzspan.warehouse.Consignment.Kind;
-import quartzspan.warehouse.Watch.Ask;
-import quartzspan.warehouse.Watch.Event;
+import quartzspan.promptindex.KvEventFollower.Ask;
+import quartzspan.promptindex.KvEventFollower.Event;
+import quartzspan.promptindex.PromptIndexUpdate.Kind;
 
 /** The index of kept prompts: prefixes, gaps, new lives, and how a server's events are followed. */
-class StockTest {
-    private static Consignment news(Kind kind, long stream, long seq, long part, int tokens) {
-        return new Consignment(kind, "i", stream, seq, new long[] {part}, new int[] {tokens});
+class PromptIndexTest {
+    private static PromptIndexUpdate news(Kind kind, long stream, long seq, long part, int tokens) {
+        return new PromptIndexUpdate(kind, "i", stream, seq, new long[] {part}, new int[] {tokens});
     }
 
     @Test
     void onlyAWholePrefixCounts() {
-        Stock s = new Stock();
+        PromptIndex s = new PromptIndex();
         s.saw("i", 1, 512);
         s.saw("i", 3, 100);
         assertEquals(512, s.kept("i", new long[] {1, 2, 3}, new long[] {512, 400, 100}));
         s.saw("i", 2, 390);
-        assertEquals(1_002, s.kept("i", new long[] {1, 2, 3}, new long[] {512, 400, 100}), "blocks leave the last tokens");
+        assertEquals(
+                1_002, s.kept("i", new long[] {1, 2, 3}, new long[] {512, 400, 100}), "blocks leave the last tokens");
         s.saw("i", 1, 128);
         assertEquals(128, s.kept("i", new long[] {1, 2, 3}, new long[] {512, 400, 100}));
         assertEquals(0, s.kept("j", new long[] {1}, new long[] {512}));
@@ -31,7 +32,7 @@
 
     @Test
     void aGapAsksForTheWholeAndOldReportsChangeNothing() {
-        Stock s = new Stock();
+        PromptIndex s = new PromptIndex();
         assertTrue(s.take(news(Kind.NEWS, 5, 4, 1, 10)), "nothing before it is known");
         assertFalse(s.take(news(Kind.WHOLE, 5, 4, 1, 10)));
         assertFalse(s.take(news(Kind.NEWS, 5, 5, 2, 10)));
@@ -46,17 +47,19 @@
 
     @Test
     void saltsKeepWeightsAndWallsApart() {
-        assertTrue(Stock.part("v1", "ab", "m") != Stock.part("v2", "ab", "m"));
-        assertTrue(Stock.part("v1wt", "ab", "m") != Stock.part("v1", "ab", "m"));
+        assertTrue(PromptIndex.part("v1", "ab", "m") != PromptIndex.part("v2", "ab", "m"));
+        assertTrue(PromptIndex.part("v1wt", "ab", "m") != PromptIndex.part("v1", "ab", "m"));
     }
 
     @Test
     void eventsAreFollowedAndTheListIsAskedForOnlyAfterAGap() {
-        Watch w = new Watch("i", 8);
+        KvEventFollower w = new KvEventFollower("i", 8);
         assertEquals(Ask.EVENTS, w.due(0));
         assertEquals(Ask.NOTHING, w.due(10_000), "one question at a time");
-        List<Consignment> first = w.events(10, 77, 3, false, List.of(new Event("v1", "ab", 100, "m")));
-        assertEquals(List.of(Kind.WHOLE, Kind.NEWS), first.stream().map(Consignment::kind).toList());
+        List<PromptIndexUpdate> first = w.events(10, 77, 3, false, List.of(new Event("v1", "ab", 100, "m")));
+        assertEquals(
+                List.of(Kind.WHOLE, Kind.NEWS),
+                first.stream().map(PromptIndexUpdate::kind).toList());
         assertEquals(Ask.NOTHING, w.due(20), "paced");
         assertEquals(Ask.EVENTS, w.due(1_000));
         assertEquals(3, w.since());
@@ -68,7 +71,7 @@
         w.failed(3_010);
         assertEquals(Ask.NOTHING, w.due(3_100));
         assertEquals(Ask.EVENTS, w.due(4_000));
-        List<Consignment> anew = w.events(4_010, 78, 1, false, List.of());
+        List<PromptIndexUpdate> anew = w.events(4_010, 78, 1, false, List.of());
         assertEquals(Kind.WHOLE, anew.get(0).kind(), "a new life keeps nothing of the old");
         assertEquals(0, anew.get(0).parts().length);
     }
--- a/src/test/java/quartzspan/docket/DocketExplorerTest.java
+++ b/src/test/java/quartzspan/replication/ReplicaSimulationTest.java
@@ -1,20 +1,20 @@
-package quartzspan.docket;
+package quartzspan.replication;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import quartzspan.docket.Ledger.Change;
-import quartzspan.docket.World.Machine;
+import quartzspan.replication.ControlState.Change;
+import quartzspan.replication.SimulatedCluster.Machine;
 
 /**
  * Plays seeded histories of troubles against the control state: kills, lost disks, cuts (one way too), freezes, late and lost
- * letters, disks that refuse or are slow, machines replaced by empty ones at other addresses, two operators at once. What was
+ * messages, disks that refuse or are slow, machines replaced by empty ones at other addresses, two operators at once. What was
  * acknowledged must be there, changes on one version exclude each other, what is read is the newest, and calm brings a
  * primary that takes changes.
  */
-class DocketExplorerTest {
+class ReplicaSimulationTest {
     static final int HISTORIES = Integer.getInteger("quartzspan.histories", 1_500);
 
     @Test
@@ -22,7 +22,7 @@
         long reads = 0;
         long acked = 0;
         for (long seed = 1; seed <= HISTORIES; seed++) {
-            World w = new World(seed, seed % 4 == 0 ? 2 : 1);
+            SimulatedCluster w = new SimulatedCluster(seed, seed % 4 == 0 ? 2 : 1);
             try {
                 play(w);
             } catch (AssertionError | RuntimeException e) {
@@ -34,7 +34,7 @@
         assertTrue(acked > 5L * HISTORIES && reads > 5L * HISTORIES, acked + " changes, " + reads + " reads");
     }
 
-    private static void play(World w) {
+    private static void play(SimulatedCluster w) {
         w.lossPerMille = w.random.nextInt(3) == 0 ? 5 : 0;
         w.machines.values().forEach(m -> w.after(w.random.nextInt(300), () -> m.start(true)));
         for (long at = 2_000; at < 24_000; at += 400 + w.random.nextInt(900)) {
@@ -49,26 +49,32 @@
         }
         w.lossPerMille = 0;
         w.run(w.now + 6_000);
-        World.need(w.primary() != null, "calm brings no primary: " + roles(w));
+        SimulatedCluster.need(w.primary() != null, "calm brings no primary: " + roles(w));
         long last = w.acked.isEmpty() ? 0 : w.acked.lastKey();
         w.read();
         w.run(w.now + 1_000);
         w.race(1);
         w.run(w.now + 4_000);
-        World.need(!w.acked.isEmpty() && w.acked.lastKey() > last, "calm brings no change: " + roles(w));
-        Ledger ledger = w.primary().docket.ledger();
+        SimulatedCluster.need(!w.acked.isEmpty() && w.acked.lastKey() > last, "calm brings no change: " + roles(w));
+        ControlState state = w.primary().replica.state();
         for (Change c : w.acked.values()) {
-            World.need(ledger.with(c) == ledger, "an acknowledged change is not there");
+            SimulatedCluster.need(state.with(c) == state, "an acknowledged change is not there");
         }
     }
 
-    private static String roles(World w) {
-        return w.machines.values().stream().map(m -> m.name + "=" + (m.docket == null ? "down" : m.docket.role() + " "
-                + m.docket.promised() + " " + m.docket.view().text())).toList().toString();
+    private static String roles(SimulatedCluster w) {
+        return w.machines.values().stream()
+                .map(m -> m.name + "="
+                        + (m.replica == null
+                                ? "down"
+                                : m.replica.role() + " " + m.replica.promised() + " "
+                                        + m.replica.view().text()))
+                .toList()
+                .toString();
     }
 
     /** One trouble, or one that strikes right after a change was acknowledged. */
-    private static void episode(World w) {
+    private static void episode(SimulatedCluster w) {
         List<Machine> all = new ArrayList<>(w.machines.values());
         Machine m = w.any();
         long down = 200 + w.random.nextInt(4_000);
@@ -135,7 +141,7 @@
     }
 
     /** Some links fail, each in one direction or both, while everybody else hears everybody. */
-    private static void links(World w, List<Machine> all, long forMs) {
+    private static void links(SimulatedCluster w, List<Machine> all, long forMs) {
         for (int n = 1 + w.random.nextInt(all.size()); n > 0; n--) {
             Machine a = all.get(w.random.nextInt(all.size()));
             Machine b = all.get(w.random.nextInt(all.size()));
@@ -152,7 +158,7 @@
     }
 
     /** As many disks as may be lost are, in a calm time, perhaps while all others lose power; then calm until caught up. */
-    private static void wipe(World w, List<Machine> all) {
+    private static void wipe(SimulatedCluster w, List<Machine> all) {
         w.run(w.now + 4_500);
         boolean others = w.random.nextBoolean();
         if (w.random.nextBoolean()) {
@@ -180,7 +186,7 @@
         });
         w.run(w.now + 200 + w.random.nextInt(2_000));
         for (Machine m : all) {
-            if (m.docket == null) {
+            if (m.replica == null) {
                 w.after(w.random.nextInt(300), () -> m.start(false));
             }
         }
@@ -193,9 +199,9 @@
     }
 
     /** A machine goes for good, and an empty one at another address comes. */
-    private static void replace(World w, Machine old) {
+    private static void replace(SimulatedCluster w, Machine old) {
         w.run(w.now + 4_500);
-        if (old.docket == null || w.machines.size() > 9) {
+        if (old.replica == null || w.machines.size() > 9) {
             return;
         }
         old.kill();
--- a/src/test/java/quartzspan/docket/World.java
+++ b/src/test/java/quartzspan/replication/SimulatedCluster.java
@@ -1,4 +1,4 @@
-package quartzspan.docket;
+package quartzspan.replication;
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -12,18 +12,18 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
-import quartzspan.docket.Ledger.Change;
-import quartzspan.papers.Refusal;
+import quartzspan.common.FleetException;
+import quartzspan.replication.ControlState.Change;
 
-/** Core machines in simulated time: their dockets, disks and links, operators who race, and troubles drawn from a seed. */
-final class World {
-    private record Event(long at, long order, Runnable run) { }
+/** Core machines in simulated time: their replicas, disks and links, operators who race, and troubles drawn from a seed. */
+final class SimulatedCluster {
+    private record Event(long at, long order, Runnable run) {}
 
-    /** One machine; the disk outlives the docket, unless it is lost. */
-    final class Machine implements Docket.Out {
+    /** One machine; the disk outlives the replica, unless it is lost. */
+    final class Machine implements Replica.Out {
         final String name;
         List<byte[]> disk = new ArrayList<>();
-        Docket docket;
+        Replica replica;
         int life;
         boolean frozen;
         boolean refuses;
@@ -40,19 +40,19 @@
             life++;
             int mine = life;
             asked.clear();
-            docket = new Docket(name, seeds, losses, found, List.copyOf(disk), random.nextLong(), now, this);
+            replica = new Replica(name, seeds, losses, found, List.copyOf(disk), random.nextLong(), now, this);
             tick(mine);
         }
 
         private void tick(int mine) {
-            if (docket != null && life == mine) {
-                docket.onTick(now);
+            if (replica != null && life == mine) {
+                replica.onTick(now);
                 after(50, () -> on(this, mine, () -> tick(mine)));
             }
         }
 
         void kill() {
-            docket = null;
+            replica = null;
             life++;
             held.clear();
             // What was on its way to the disk is there or not, in order.
@@ -60,7 +60,7 @@
         }
 
         @Override
-        public void send(String to, Letter letter) {
+        public void send(String to, ReplicaMessage message) {
             int mine = life;
             if (cuts.contains(name + ">" + to) || random.nextInt(1000) < lossPerMille) {
                 return;
@@ -70,8 +70,8 @@
                 Machine m = machines.get(to);
                 if (m != null && !cuts.contains(name + ">" + to) && mine >= 0) {
                     on(m, m.life, () -> {
-                        if (m.docket != null) {
-                            m.docket.onLetter(now, name, letter);
+                        if (m.replica != null) {
+                            m.replica.onMessage(now, name, message);
                         }
                     });
                 }
@@ -91,25 +91,25 @@
                     }
                 }
                 if (life == mine) {
-                    on(this, mine, () -> docket.onPersisted(now, seq, !refused));
+                    on(this, mine, () -> replica.onPersisted(now, seq, !refused));
                 }
             });
         }
 
         @Override
-        public void done(long ticket, Refusal why, Ledger ledger) {
+        public void done(long ticket, FleetException why, ControlState state) {
             Asked a = asked.remove(ticket);
             if (a != null && why == null) {
-                a.granted(ledger);
+                a.granted(state);
             }
         }
 
         @Override
-        public void committed(long epoch, long index, Ledger ledger) {
+        public void committed(long epoch, long index, ControlState state) {
             long[] key = {epoch, index};
             String by = committedBy.putIfAbsent(epoch, name);
             need(by == null || by.equals(name), "two primaries in epoch " + epoch);
-            long version = ledger.manifest().version();
+            long version = state.configuration().version();
             for (Map.Entry<long[], Long> e : committed.headMap(key, true).entrySet()) {
                 need(e.getValue() <= version, "version " + version + " after " + e.getValue());
             }
@@ -121,7 +121,7 @@
     }
 
     private interface Asked {
-        void granted(Ledger ledger);
+        void granted(ControlState state);
     }
 
     final SplittableRandom random;
@@ -133,18 +133,19 @@
     long now = 1_000_000;
     private long order;
     private long tickets;
-    private final PriorityQueue<Event> events = new PriorityQueue<>(
-            (a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
     private final TreeMap<long[], Long> committed = new TreeMap<>(Arrays::compare);
     private final Map<Long, String> committedBy = new HashMap<>();
     /** Acknowledged changes: base, by version. */
     final TreeMap<Long, Change> acked = new TreeMap<>();
+
     private final Set<Long> bases = new HashSet<>();
     private long nextVersion = 1;
     private long knownVersion;
     int reads;
 
-    World(long seed, int losses) {
+    SimulatedCluster(long seed, int losses) {
         this.random = new SplittableRandom(seed);
         this.losses = losses;
         int n = 2 * losses + 1;
@@ -192,7 +193,7 @@
 
     void thaw(Machine m) {
         m.frozen = false;
-        for (Runnable r; (r = m.held.poll()) != null;) {
+        for (Runnable r; (r = m.held.poll()) != null; ) {
             after(0, r);
         }
     }
@@ -217,16 +218,16 @@
         }
         for (Machine m : machines.values()) {
             // The operator is sent from one to the other until one says that it decides; a cut-off one may say so too.
-            if (m.docket != null && m.docket.primary() && !m.frozen) {
+            if (m.replica != null && m.replica.primary() && !m.frozen) {
                 long ticket = ++tickets;
-                m.asked.put(ticket, ledger -> {
+                m.asked.put(ticket, state -> {
                     if (!acked.containsKey(version)) {
                         need(bases.add(change.base()), "two changes on version " + change.base());
                     }
                     acked.put(version, change);
                     knownVersion = Math.max(knownVersion, version);
                 });
-                m.docket.change(now, ticket, change);
+                m.replica.change(now, ticket, change);
             }
         }
         after(300 + random.nextInt(500), () -> {
@@ -240,24 +241,30 @@
     void read() {
         long most = acked.isEmpty() ? 0 : acked.lastKey();
         for (Machine m : machines.values()) {
-            if (m.docket != null && m.docket.primary() && !m.frozen) {
+            if (m.replica != null && m.replica.primary() && !m.frozen) {
                 long ticket = ++tickets;
-                m.asked.put(ticket, ledger -> {
+                m.asked.put(ticket, state -> {
                     reads++;
-                    need(ledger.manifest().version() >= most, "read " + ledger.manifest().version() + " after " + most);
-                    knownVersion = Math.max(knownVersion, ledger.manifest().version());
+                    need(
+                            state.configuration().version() >= most,
+                            "read " + state.configuration().version() + " after " + most);
+                    knownVersion = Math.max(knownVersion, state.configuration().version());
                 });
-                m.docket.confirm(now, ticket);
+                m.replica.confirm(now, ticket);
             }
         }
     }
 
     Machine primary() {
-        return machines.values().stream().filter(m -> m.docket != null && m.docket.primary()).findFirst().orElse(null);
+        return machines.values().stream()
+                .filter(m -> m.replica != null && m.replica.primary())
+                .findFirst()
+                .orElse(null);
     }
 
     Machine any() {
-        List<Machine> up = machines.values().stream().filter(m -> m.docket != null).toList();
+        List<Machine> up =
+                machines.values().stream().filter(m -> m.replica != null).toList();
         Machine p = primary();
         return p != null && random.nextInt(3) == 0 ? p : up.get(random.nextInt(up.size()));
     }
--- a/src/test/java/quartzspan/bond/MemoryDisk.java
+++ b/src/test/java/quartzspan/store/MemoryDisk.java
@@ -1,10 +1,10 @@
-package quartzspan.bond;
+package quartzspan.store;
 
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.SplittableRandom;
-import quartzspan.papers.Refusal;
+import quartzspan.common.FleetException;
 
 /** A disk in memory that can lose power, be full, and tear what was not synced. */
 final class MemoryDisk implements Disk {
@@ -12,6 +12,7 @@
     private final Map<String, byte[]> safe = new HashMap<>();
     /** Operations until power goes; negative: never. */
     int powerAfter = -1;
+
     boolean full;
     int operations;
 
@@ -39,7 +40,7 @@
         if (full) {
             byte[] part = Arrays.copyOf(bytes, bytes.length / 2);
             put(name, at, part, old);
-            throw new Refusal(Refusal.Code.STORE_REFUSES, "full", "free space");
+            throw new FleetException(FleetException.Code.STORE_REFUSES, "full", "free space");
         }
         put(name, at, bytes, old);
         operation();
@@ -53,8 +54,8 @@
 
     @Override
     public void truncate(String name, long length) {
-        now.put(name, Arrays.copyOf(now.getOrDefault(name, new byte[0]),
-                (int) Math.min(length, now.getOrDefault(name, new byte[0]).length)));
+        now.put(name, Arrays.copyOf(now.getOrDefault(name, new byte[0]), (int)
+                Math.min(length, now.getOrDefault(name, new byte[0]).length)));
         operation();
     }
 
@@ -79,7 +80,8 @@
                 case 0 -> file = old;
                 case 1 -> {
                     byte[] base = old == null ? new byte[0] : old;
-                    int length = file.length <= base.length ? (random.nextBoolean() ? file.length : base.length)
+                    int length = file.length <= base.length
+                            ? (random.nextBoolean() ? file.length : base.length)
                             : base.length + random.nextInt(file.length - base.length + 1);
                     byte[] torn = Arrays.copyOf(file.length >= length ? file : base, length);
                     for (int i = 0; i < torn.length; i++) {
@@ -90,7 +92,7 @@
                     }
                     file = torn;
                 }
-                default -> { }
+                default -> {}
             }
             if (file != null) {
                 next.now.put(e.getKey(), file);
--- a/src/test/java/quartzspan/bond/BondTest.java
+++ b/src/test/java/quartzspan/store/SlotStoreTest.java
@@ -1,4 +1,4 @@
-package quartzspan.bond;
+package quartzspan.store;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -13,10 +13,10 @@
 import java.util.function.Function;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import quartzspan.papers.Refusal;
+import quartzspan.common.FleetException;
 
-/** What every disk must give a bond, and what a bond makes of disks that fail. */
-class BondTest {
+/** What every disk must give a store, and what a store makes of disks that fail. */
+class SlotStoreTest {
     @TempDir
     Path folder;
 
@@ -39,14 +39,14 @@
     }
 
     private static void contract(Function<Boolean, Disk> disks) {
-        Bond bond = new Bond(disks.apply(false));
-        assertNull(bond.open().state());
-        assertThrows(IllegalStateException.class, () -> bond.append(bytes(1, 3)));
-        bond.checkpoint(bytes(1, 100));
-        bond.append(bytes(2, 5));
-        bond.append(bytes(3, 5_000));
-        Bond second = new Bond(disks.apply(true));
-        Bond.Contents found = second.open();
+        SlotStore store = new SlotStore(disks.apply(false));
+        assertNull(store.open().state());
+        assertThrows(IllegalStateException.class, () -> store.append(bytes(1, 3)));
+        store.checkpoint(bytes(1, 100));
+        store.append(bytes(2, 5));
+        store.append(bytes(3, 5_000));
+        SlotStore second = new SlotStore(disks.apply(true));
+        SlotStore.Contents found = second.open();
         assertArrayEquals(bytes(1, 100), found.state());
         assertEquals(2, found.records().size());
         assertArrayEquals(bytes(3, 5_000), found.records().get(1));
@@ -54,13 +54,13 @@
         second.checkpoint(bytes(5, 20));
         second.append(bytes(6, 1));
         second.checkpoint(bytes(7, 2_000));
-        Bond.Contents last = new Bond(disks.apply(true)).open();
+        SlotStore.Contents last = new SlotStore(disks.apply(true)).open();
         assertArrayEquals(bytes(7, 2_000), last.state());
         assertTrue(last.records().isEmpty());
-        Bond third = new Bond(disks.apply(true));
+        SlotStore third = new SlotStore(disks.apply(true));
         third.open();
         third.discard();
-        assertNull(new Bond(disks.apply(true)).open().state());
+        assertNull(new SlotStore(disks.apply(true)).open().state());
     }
 
     /** What was done before power went is there; what was being done is there whole or not at all. */
@@ -72,15 +72,15 @@
                 disk.powerAfter = after;
                 List<byte[]> done = new ArrayList<>();
                 byte[] begun = null;
-                Bond bond = new Bond(disk);
-                bond.open();
+                SlotStore store = new SlotStore(disk);
+                store.open();
                 try {
                     for (int n = 1; n < 12; n++) {
                         begun = bytes(n, 10 + 37 * n);
                         if (n % 4 == 1) {
-                            bond.checkpoint(begun);
+                            store.checkpoint(begun);
                         } else {
-                            bond.append(begun);
+                            store.append(begun);
                         }
                         done.add(begun);
                         begun = null;
@@ -88,7 +88,7 @@
                 } catch (MemoryDisk.Dark dark) {
                     // What is there now is looked at below.
                 }
-                Bond.Contents found = new Bond(disk.after(new SplittableRandom(seed))).open();
+                SlotStore.Contents found = new SlotStore(disk.after(new SplittableRandom(seed))).open();
                 List<byte[]> all = new ArrayList<>();
                 if (found.state() != null) {
                     all.add(found.state());
@@ -96,7 +96,8 @@
                 all.addAll(found.records());
                 byte[] newest = all.isEmpty() ? null : all.get(all.size() - 1);
                 byte[] wanted = done.isEmpty() ? null : done.get(done.size() - 1);
-                boolean good = java.util.Arrays.equals(newest, wanted) || begun != null && java.util.Arrays.equals(newest, begun);
+                boolean good = java.util.Arrays.equals(newest, wanted)
+                        || begun != null && java.util.Arrays.equals(newest, begun);
                 assertTrue(good, "power gone after " + after + ", seed " + seed);
             }
         }
@@ -105,18 +106,18 @@
     @Test
     void aFullDiskRefusesAndLosesNothing() {
         MemoryDisk disk = new MemoryDisk();
-        Bond bond = new Bond(disk);
-        bond.open();
-        bond.checkpoint(bytes(1, 50));
-        bond.append(bytes(2, 50));
+        SlotStore store = new SlotStore(disk);
+        store.open();
+        store.checkpoint(bytes(1, 50));
+        store.append(bytes(2, 50));
         disk.full = true;
-        assertThrows(Refusal.class, () -> bond.append(bytes(3, 400)));
-        assertThrows(Refusal.class, () -> bond.checkpoint(bytes(4, 400)));
-        assertThrows(Refusal.class, () -> bond.append(bytes(5, 10)));
-        assertEquals(1, new Bond(disk).open().records().size());
+        assertThrows(FleetException.class, () -> store.append(bytes(3, 400)));
+        assertThrows(FleetException.class, () -> store.checkpoint(bytes(4, 400)));
+        assertThrows(FleetException.class, () -> store.append(bytes(5, 10)));
+        assertEquals(1, new SlotStore(disk).open().records().size());
         disk.full = false;
-        bond.append(bytes(6, 9));
-        Bond.Contents found = new Bond(disk).open();
+        store.append(bytes(6, 9));
+        SlotStore.Contents found = new SlotStore(disk).open();
         assertArrayEquals(bytes(1, 50), found.state());
         assertEquals(2, found.records().size());
         assertArrayEquals(bytes(6, 9), found.records().get(1));
@@ -126,27 +127,27 @@
     @Test
     void aFlippedBitIsSeen() {
         MemoryDisk disk = new MemoryDisk();
-        Bond bond = new Bond(disk);
-        bond.open();
-        bond.checkpoint(bytes(1, 30));
-        bond.append(bytes(2, 20));
-        bond.append(bytes(3, 20));
+        SlotStore store = new SlotStore(disk);
+        store.open();
+        store.checkpoint(bytes(1, 30));
+        store.append(bytes(2, 20));
+        store.append(bytes(3, 20));
         int last = 8 + 28;
         byte[] log = disk.raw("log");
         for (int i = 8; i < log.length; i++) {
             log[i] ^= 4;
             if (i < last) {
-                assertThrows(Refusal.class, () -> new Bond(disk).open(), "byte " + i);
+                assertThrows(FleetException.class, () -> new SlotStore(disk).open(), "byte " + i);
             } else {
                 // The last record might as well have been torn, before it was answered for.
-                assertEquals(1, new Bond(disk).open().records().size());
+                assertEquals(1, new SlotStore(disk).open().records().size());
             }
             log[i] ^= 4;
         }
         byte[] slot = disk.raw("slot-b");
         for (int i = 0; i < slot.length; i++) {
             slot[i] ^= 4;
-            assertThrows(Refusal.class, () -> new Bond(disk).open(), "byte " + i);
+            assertThrows(FleetException.class, () -> new SlotStore(disk).open(), "byte " + i);
             slot[i] ^= 4;
         }
     }
--- /dev/null
+++ b/src/test/java/quartzspan/transport/MessageCodecTest.java
@@ -0,0 +1,81 @@
+package quartzspan.transport;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import quartzspan.common.FleetException;
+import quartzspan.promptindex.PromptIndexUpdate;
+import quartzspan.registry.GossipMessage;
+import quartzspan.registry.RegistryEntry;
+import quartzspan.replication.ReplicaMessage;
+import quartzspan.replication.View;
+import quartzspan.transport.MessageCodec.Hello;
+
+/** What goes in comes out; what is cut or spoilt is refused or read as something, and never worse. */
+class MessageCodecTest {
+    private static final Hello HELLO = new Hello(true, "10.0.0.1:70", "10.0.0.1:80", "zône");
+    private static final ReplicaMessage REPLICA_MESSAGE = new ReplicaMessage(
+            ReplicaMessage.Kind.COPY,
+            5,
+            -1,
+            7,
+            8,
+            Long.MAX_VALUE,
+            true,
+            false,
+            new View(5, "a:1", List.of("a:1", "b:1"), List.of("a:1", "b:1", "c:1")),
+            new byte[] {1, 2, 3});
+    private static final GossipMessage GOSSIP = new GossipMessage(
+            GossipMessage.Kind.ANSWER,
+            3,
+            12,
+            4,
+            9,
+            new long[] {1, -5, 9},
+            List.of(
+                    new RegistryEntry(RegistryEntry.Subject.SERVER, "i-1", 17, RegistryEntry.State.DRAINING, "s\tx"),
+                    new RegistryEntry(RegistryEntry.Subject.PROXY, "", 0, RegistryEntry.State.READY, "")),
+            new byte[70_000]);
+    private static final PromptIndexUpdate INDEX_UPDATE =
+            new PromptIndexUpdate(PromptIndexUpdate.Kind.NEWS, "i-9", 4, 5, new long[] {8, 9}, new int[] {100, 0});
+
+    @Test
+    void whatGoesInComesOut() {
+        assertEquals(HELLO, MessageCodec.decode(MessageCodec.encode(HELLO)));
+        ReplicaMessage l = (ReplicaMessage) MessageCodec.decode(MessageCodec.encode(REPLICA_MESSAGE));
+        assertEquals(REPLICA_MESSAGE.view(), l.view());
+        assertArrayEquals(REPLICA_MESSAGE.body(), l.body());
+        assertEquals(REPLICA_MESSAGE.toString().split(", body")[0], l.toString().split(", body")[0]);
+        GossipMessage t = (GossipMessage) MessageCodec.decode(MessageCodec.encode(GOSSIP));
+        assertEquals(GOSSIP.entries(), t.entries());
+        assertArrayEquals(GOSSIP.buckets(), t.buckets());
+        assertEquals(70_000, t.controlState().length);
+        PromptIndexUpdate c = (PromptIndexUpdate) MessageCodec.decode(MessageCodec.encode(INDEX_UPDATE));
+        assertArrayEquals(INDEX_UPDATE.parts(), c.parts());
+        assertArrayEquals(INDEX_UPDATE.tokens(), c.tokens());
+        assertEquals("i-9", c.server());
+    }
+
+    @Test
+    void nonsenseIsRefusedAndNothingElse() {
+        SplittableRandom random = new SplittableRandom(5);
+        for (Object message : List.of(HELLO, REPLICA_MESSAGE, GOSSIP, INDEX_UPDATE)) {
+            byte[] good = MessageCodec.encode(message);
+            for (int i = 0; i < 4_000; i++) {
+                byte[] bad = random.nextBoolean() ? good.clone() : Arrays.copyOf(good, random.nextInt(good.length));
+                for (int k = random.nextInt(4); k > 0 && bad.length > 0; k--) {
+                    bad[random.nextInt(Math.min(bad.length, 120))] = (byte) random.nextInt();
+                }
+                try {
+                    MessageCodec.decode(bad);
+                } catch (FleetException refused) {
+                    assertEquals(FleetException.Code.MESSAGE_INVALID, refused.code());
+                }
+            }
+        }
+    }
+}
--- a/src/test/java/quartzspan/waybill/PostTest.java
+++ b/src/test/java/quartzspan/transport/TransportContractTest.java
@@ -1,4 +1,4 @@
-package quartzspan.waybill;
+package quartzspan.transport;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -22,13 +22,13 @@
 import java.util.function.BiFunction;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import quartzspan.docket.Letter;
-import quartzspan.docket.View;
-import quartzspan.roster.Tidings;
-import quartzspan.waybill.Waybill.Hello;
+import quartzspan.registry.GossipMessage;
+import quartzspan.replication.ReplicaMessage;
+import quartzspan.replication.View;
+import quartzspan.transport.MessageCodec.Hello;
 
 /** What every post must do, the real one and the one that tests use; and what the real one makes of nonsense. */
-class PostTest {
+class TransportContractTest {
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
 
@@ -37,10 +37,10 @@
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 
-    private record Got(Hello from, Object message) { }
+    private record Got(Hello from, Object message) {}
 
     /** Messages go through their bytes here too. */
-    private static final class MemoryPost implements Post {
+    private static final class MemoryPost implements Transport {
         private final Map<String, Receiver> all;
         private final Hello self;
 
@@ -54,7 +54,7 @@
         public void send(String to, Object message) {
             Receiver there = all.get(to);
             if (there != null) {
-                there.received(self, Waybill.decode(Waybill.encode(message)));
+                there.received(self, MessageCodec.decode(MessageCodec.encode(message)));
             }
         }
     }
@@ -65,40 +65,45 @@
         }
     }
 
-    private static Letter letter(long nonce, int bytes) {
-        return new Letter(Letter.Kind.COPY, 1, nonce, 0, 0, 0, true, false, View.NONE, new byte[bytes]);
+    private static ReplicaMessage message(long nonce, int bytes) {
+        return new ReplicaMessage(ReplicaMessage.Kind.COPY, 1, nonce, 0, 0, 0, true, false, View.NONE, new byte[bytes]);
     }
 
-    private Post real(Hello self, Post.Receiver receiver) {
+    private Transport real(Hello self, Transport.Receiver receiver) {
         try {
-            Carrier carrier = new Carrier(loop, self, receiver);
+            TcpTransport transport = new TcpTransport(loop, self, receiver);
             int colon = self.address().indexOf(':');
-            assertTrue(carrier.listen(new InetSocketAddress("127.0.0.1",
-                    Integer.parseInt(self.address().substring(colon + 1)))).await().isSuccess());
-            return (to, message) -> loop.execute(() -> carrier.send(to, message));
+            assertTrue(transport
+                    .listen(new InetSocketAddress(
+                            "127.0.0.1", Integer.parseInt(self.address().substring(colon + 1))))
+                    .await()
+                    .isSuccess());
+            return (to, message) -> loop.execute(() -> transport.send(to, message));
         } catch (InterruptedException e) {
             throw new AssertionError(e);
         }
     }
 
-    private static void contract(BiFunction<Hello, Post.Receiver, Post> posts) throws Exception {
+    private static void contract(BiFunction<Hello, Transport.Receiver, Transport> posts) throws Exception {
         Hello a = new Hello(true, address(), "c", "z");
         Hello b = new Hello(false, address(), "", "z");
         BlockingQueue<Got> atA = new LinkedBlockingQueue<>();
         BlockingQueue<Got> atB = new LinkedBlockingQueue<>();
-        Post fromA = posts.apply(a, (from, m) -> atA.add(new Got(from, m)));
-        Post fromB = posts.apply(b, (from, m) -> atB.add(new Got(from, m)));
+        Transport fromA = posts.apply(a, (from, m) -> atA.add(new Got(from, m)));
+        Transport fromB = posts.apply(b, (from, m) -> atB.add(new Got(from, m)));
         for (int i = 0; i < 40; i++) {
-            fromA.send(b.address(), letter(i, i == 20 ? 3_000_000 : i));
+            fromA.send(b.address(), message(i, i == 20 ? 3_000_000 : i));
         }
-        fromB.send(a.address(), new Tidings(Tidings.Kind.ASK, 1, -1, 0, 0, new long[32], List.of(), new byte[0]));
-        fromA.send("127.0.0.1:1", letter(1, 1));
+        fromB.send(
+                a.address(),
+                new GossipMessage(GossipMessage.Kind.ASK, 1, -1, 0, 0, new long[32], List.of(), new byte[0]));
+        fromA.send("127.0.0.1:1", message(1, 1));
         List<Long> nonces = new ArrayList<>();
         List<Long> wanted = new ArrayList<>();
         for (long i = 0; i < 40; i++) {
             Got got = atB.poll(10, TimeUnit.SECONDS);
             assertEquals(a, got.from());
-            nonces.add(((Letter) got.message()).nonce());
+            nonces.add(((ReplicaMessage) got.message()).nonce());
             wanted.add(i);
         }
         assertEquals(wanted, nonces, "in order, each once");
@@ -112,7 +117,7 @@
 
     @Test
     void theContractHoldsInMemory() throws Exception {
-        Map<String, Post.Receiver> all = new HashMap<>();
+        Map<String, Transport.Receiver> all = new HashMap<>();
         contract((self, receiver) -> new MemoryPost(all, self, receiver));
     }
 
@@ -121,15 +126,25 @@
         Hello a = new Hello(true, address(), "c", "z");
         Hello b = new Hello(true, address(), "c", "z");
         BlockingQueue<Got> atB = new LinkedBlockingQueue<>();
-        Post fromA = real(a, (from, m) -> { });
+        Transport fromA = real(a, (from, m) -> {});
         real(b, (from, m) -> atB.add(new Got(from, m)));
-        fromA.send(b.address(), letter(1, 1));
-        assertEquals(1, ((Letter) atB.poll(10, TimeUnit.SECONDS).message()).nonce());
-        byte[] hello = Waybill.encode(a);
-        byte[] helloFrame = java.nio.ByteBuffer.allocate(4 + hello.length).putInt(hello.length).put(hello).array();
-        List<byte[]> nonsense = List.of(new byte[] {0, 0, 0, 3, 1, 2, 3}, new byte[] {127, 0, 0, 0, 9},
-                new byte[] {-1, -1, -1, -1, 0}, "GET / HTTP/1.1\r\nHost: x\r\n\r\n".getBytes("US-ASCII"),
-                java.nio.ByteBuffer.allocate(helloFrame.length + 8).put(helloFrame).putInt(4).putInt(77).array());
+        fromA.send(b.address(), message(1, 1));
+        assertEquals(1, ((ReplicaMessage) atB.poll(10, TimeUnit.SECONDS).message()).nonce());
+        byte[] hello = MessageCodec.encode(a);
+        byte[] helloFrame = java.nio.ByteBuffer.allocate(4 + hello.length)
+                .putInt(hello.length)
+                .put(hello)
+                .array();
+        List<byte[]> nonsense = List.of(
+                new byte[] {0, 0, 0, 3, 1, 2, 3},
+                new byte[] {127, 0, 0, 0, 9},
+                new byte[] {-1, -1, -1, -1, 0},
+                "GET / HTTP/1.1\r\nHost: x\r\n\r\n".getBytes("US-ASCII"),
+                java.nio.ByteBuffer.allocate(helloFrame.length + 8)
+                        .put(helloFrame)
+                        .putInt(4)
+                        .putInt(77)
+                        .array());
         int port = Integer.parseInt(b.address().substring(b.address().indexOf(':') + 1));
         for (byte[] bytes : nonsense) {
             try (Socket s = new Socket(InetAddress.getLoopbackAddress(), port)) {
@@ -144,22 +159,22 @@
         try (Socket s = new Socket(InetAddress.getLoopbackAddress(), port)) {
             s.getOutputStream().write(helloFrame, 0, helloFrame.length - 3);
         }
-        fromA.send(b.address(), letter(2, 1));
-        assertEquals(2, ((Letter) atB.poll(10, TimeUnit.SECONDS).message()).nonce(), "the others go on");
+        fromA.send(b.address(), message(2, 1));
+        assertEquals(2, ((ReplicaMessage) atB.poll(10, TimeUnit.SECONDS).message()).nonce(), "the others go on");
     }
 
     @Test
     void whoListensAgainIsReachedAgain() throws Exception {
         Hello a = new Hello(true, address(), "c", "z");
         Hello b = new Hello(true, address(), "c", "z");
-        Post fromA = real(a, (from, m) -> { });
-        fromA.send(b.address(), letter(1, 1));
-        loop.submit(() -> { }).get();
+        Transport fromA = real(a, (from, m) -> {});
+        fromA.send(b.address(), message(1, 1));
+        loop.submit(() -> {}).get();
         BlockingQueue<Got> atB = new LinkedBlockingQueue<>();
         real(b, (from, m) -> atB.add(new Got(from, m)));
         Got got = null;
         for (int i = 2; i < 200 && got == null; i++) {
-            fromA.send(b.address(), letter(i, 1));
+            fromA.send(b.address(), message(i, 1));
             got = atB.poll(50, TimeUnit.MILLISECONDS);
         }
         assertTrue(got != null);
