Store: what a start reads is synced before anybody builds on it

Cause: a process killed between the write and the sync of a record left it in the file; the next process read it, answered by it, and a loss of power then took it away. A log made anew at a start is synced with its folder too.

--- a/src/main/java/quartzspan/store/SlotStore.java
+++ b/src/main/java/quartzspan/store/SlotStore.java
@@ -37,12 +37,17 @@
         this.disk = disk;
     }
 
-    /** Reads what is there. To be called first. */
+    /**
+     * Reads what is there. To be called first.
+     *
+     * <p>A process that was killed may have written what it did not sync. It is read here, so it is synced here, before
+     * anybody builds on it.
+     */
     public Contents open() {
         byte[] state = null;
         boolean any = false;
         for (String name : SLOTS) {
-            byte[] file = disk.read(name);
+            byte[] file = readSynced(name);
             any |= file != null;
             if (file != null && file.length >= HEAD) {
                 ByteBuffer b = ByteBuffer.wrap(file);
@@ -58,7 +63,7 @@
                 }
             }
         }
-        byte[] log = disk.read(LOG);
+        byte[] log = readSynced(LOG);
         List<byte[]> records = new ArrayList<>();
         if (state == null) {
             // Before the first checkpoint is whole nothing was ever promised: what there is was begun and not finished.
@@ -69,6 +74,7 @@
         }
         if (log == null || log.length < 8 || ByteBuffer.wrap(log).getLong() != generation) {
             restartLog();
+            disk.syncFolder();
             return new Contents(state, records);
         }
         int at = 8;
@@ -85,6 +91,14 @@
         return new Contents(state, records);
     }
 
+    private byte[] readSynced(String name) {
+        byte[] file = disk.read(name);
+        if (file != null) {
+            disk.sync(name);
+        }
+        return file;
+    }
+
     private byte[] record(byte[] log, int at) {
         if (log.length - at < RECORD) {
             return null;
--- a/src/test/java/quartzspan/store/SlotStoreTest.java
+++ b/src/test/java/quartzspan/store/SlotStoreTest.java
@@ -151,4 +151,23 @@
             slot[i] ^= 4;
         }
     }
+
+    /** A process is killed between a write and its sync, the next one reads the record, and then power is lost. */
+    @Test
+    void whatAProcessHasReadOutlivesALossOfPowerThoughItsWriterWasKilledBeforeTheSync() {
+        for (int seed = 0; seed < 200; seed++) {
+            MemoryDisk disk = new MemoryDisk();
+            SlotStore killed = new SlotStore(disk);
+            killed.open();
+            killed.checkpoint(bytes(1, 100));
+            disk.powerAfter = disk.operations + 1;
+            assertThrows(MemoryDisk.Dark.class, () -> killed.append(bytes(2, 50)));
+            disk.powerAfter = -1;
+            SlotStore.Contents read = new SlotStore(disk).open();
+            assertEquals(1, read.records().size());
+            SlotStore.Contents after = new SlotStore(disk.after(new SplittableRandom(seed))).open();
+            assertEquals(1, after.records().size(), "seed " + seed);
+            assertArrayEquals(bytes(2, 50), after.records().get(0));
+        }
+    }
 }
