An answer is a request's only by its id, and a success only with its seal

Cause, by tests on loopback: an answer without X-Attempt-Id was taken for the open request's; a late refusal without a Content-Length was taken for it even with another id, so a request that ran was told 503 (MIXED, REFUSED, and a second run elsewhere); a success without X-Server-Seal, with two ids or with a Content-Encoding was passed on.

Ruled out: that servers leave the id out.

Red without the mend, 5 of AnswersTest: aLateRefusalWithoutALengthIsNotThe- AnswerToTheNext, aSuccessWithoutTheRequestsIdIsNotServed, aSuccessWithoutASeal- IsNotServed, anAnswerWithTwoIdsIsNotServed, anEncodedSuccessIsNotTheServersBody. The other four settle what was right already.

--- a/src/main/java/mulleinfront/proxy/Upstream.java
+++ b/src/main/java/mulleinfront/proxy/Upstream.java
@@ -151,13 +151,23 @@
         void ended(Outcome outcome, Answer answer);
     }
 
+    /** Whose answer it is that came while a request was open. */
+    public enum Match {
+        /** The open request's. */
+        OURS,
+        /** An earlier request's, late: it is passed over, and the open one's is still to come. */
+        EARLIER,
+        /** Nobody can tell: the connection is closed, and the open request may have run. */
+        UNKNOWN
+    }
+
     /** What an answer means, and whether its body is wanted as it comes. */
     public interface Reading {
         Outcome outcome(HttpResponse head);
 
-        /** Whether an answer is to another request than this one's, late: it is passed over. */
-        default boolean strange(HttpResponse head) {
-            return false;
+        /** Whose answer a final (not 1xx) head begins. */
+        default Match match(HttpResponse head) {
+            return Match.OURS;
         }
 
         /** The head of an answer; true if its body is to come in pieces, to {@link #piece}. */
@@ -413,10 +423,10 @@
         private boolean reusable = true;
         private Outcome outcome;
         private Answer answer;
-        /** Whether the answer at hand goes on in pieces, or belongs to an earlier request. */
+        /** Whether the answer at hand goes on in pieces. */
         private boolean streaming;
-
-        private boolean strange;
+        /** Whether the answer at hand belongs to an earlier request. */
+        private boolean passedOver;
 
         /** What comes while nothing is asked belongs to no request, read to its end or not. */
         private final Framing.ResponseDecoder decoder = new Framing.ResponseDecoder() {
@@ -479,8 +489,8 @@
                 }
             }
             if (in instanceof HttpContent content && head.status().code() >= 200) {
-                if (strange) {
-                    strange = !(in instanceof LastHttpContent);
+                if (passedOver) {
+                    passedOver = !(in instanceof LastHttpContent);
                     return;
                 }
                 if (streaming) {
@@ -511,8 +521,8 @@
             boolean good = status >= 200 && status < 300;
             if (!Framing.sound(response) || status < 200 && !interimToo || good && !stated) {
                 spoilt();
-            } else if (status >= 200 && stated && current.reading.strange(response)) {
-                strange = true;
+            } else if (status >= 200 && !ours(response, stated)) {
+                return;
             } else if (good && current.reading.streams(response)) {
                 streaming = true;
             } else if (Framing.tooLong(response.headers(), Framing.MOST_BODY)) {
@@ -523,6 +533,17 @@
             }
         }
 
+        /** Whether the answer is the open request's; an earlier one's can be passed over only if its end is known. */
+        private boolean ours(HttpResponse response, boolean stated) {
+            Match match = current.reading.match(response);
+            if (match == Match.EARLIER && stated) {
+                passedOver = true;
+            } else if (match != Match.OURS) {
+                spoilt();
+            }
+            return match == Match.OURS;
+        }
+
         private void spoilt() {
             outcome = Outcome.FAILED;
             reusable = false;
--- a/src/main/java/quartzspan/frontend/ProxiedRequest.java
+++ b/src/main/java/quartzspan/frontend/ProxiedRequest.java
@@ -17,11 +17,14 @@
 import mulleinfront.proxy.Frontend;
 import mulleinfront.proxy.Upstream;
 import mulleinfront.proxy.Upstream.Answer;
+import mulleinfront.proxy.Upstream.Match;
 import quartzspan.configuration.Configuration.Route;
 import quartzspan.promptindex.PromptIndex;
 
 /** One request on its way: from its client to a server, to another if it surely has not run, and the answer back. */
 final class ProxiedRequest implements Upstream.Reading {
+    private static final String ATTEMPT_ID = "X-Attempt-Id";
+    private static final String SEAL = "X-Server-Seal";
     private static final String NOT_EXECUTED = "X-Not-Executed";
     private static final List<CharSequence> ONE_CONNECTION = List.of(
             HttpHeaderNames.CONNECTION,
@@ -67,7 +70,7 @@
         this.route = route;
         this.job = job;
         this.call = call;
-        this.attemptId = call.headers().get("X-Attempt-Id");
+        this.attemptId = call.headers().get(ATTEMPT_ID);
         this.endAt = endAt - MARGIN_US;
     }
 
@@ -155,10 +158,20 @@
 
     // ---- the server's answer -------------------------------------------------------------------------
 
+    /** Servers echo the id of the request that an answer is to, and a success bears its server's seal and plain body. */
     @Override
-    public boolean strange(HttpResponse answer) {
-        String id = answer.headers().get("X-Attempt-Id");
-        return id != null && attemptId != null && !id.equals(attemptId);
+    public Match match(HttpResponse answer) {
+        List<String> ids = answer.headers().getAll(ATTEMPT_ID);
+        if (!ids.equals(attemptId == null ? List.of() : List.of(attemptId))) {
+            return ids.size() == 1 ? Match.EARLIER : Match.UNKNOWN;
+        }
+        int status = answer.status().code();
+        boolean success = status >= 200 && status < 300;
+        return !success || sealed(answer.headers()) ? Match.OURS : Match.UNKNOWN;
+    }
+
+    private static boolean sealed(HttpHeaders headers) {
+        return headers.getAll(SEAL).size() == 1 && !headers.contains(HttpHeaderNames.CONTENT_ENCODING);
     }
 
     @Override
--- a/src/main/java/quartzspan/localrun/Main.java
+++ b/src/main/java/quartzspan/localrun/Main.java
@@ -4,6 +4,8 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.io.ByteArrayOutputStream;
@@ -160,10 +162,13 @@
 
                             @Override
                             public void take(Frontend.Client client, HttpRequest in, byte[] body, long at) {
+                                HttpHeaders marks = new DefaultHttpHeaders()
+                                        .set("X-Attempt-Id", in.headers().get("X-Attempt-Id", ""))
+                                        .set("X-Server-Seal", "local");
                                 client.answer(
                                         HttpResponseStatus.OK,
                                         new Upstream.Answer(
-                                                BODY.getBytes(StandardCharsets.UTF_8), "text/event-stream", null),
+                                                BODY.getBytes(StandardCharsets.UTF_8), "text/event-stream", marks),
                                         0);
                             }
 
--- a/src/test/java/mulleinfront/proxy/Peers.java
+++ b/src/test/java/mulleinfront/proxy/Peers.java
@@ -23,13 +23,13 @@
 import java.util.function.Consumer;
 
 /** The other ends of a client proxy, as small as they can be: plain sockets that do what a test says. */
-final class Peers {
+public final class Peers {
     /** Bound of every wait; a test that passes waits for no more than it needs. */
-    static final long PATIENCE_S = 30;
+    public static final long PATIENCE_S = 30;
 
     private Peers() {}
 
-    static <T> T next(BlockingQueue<T> queue, String what) throws InterruptedException {
+    public static <T> T next(BlockingQueue<T> queue, String what) throws InterruptedException {
         T got = queue.poll(PATIENCE_S, TimeUnit.SECONDS);
         if (got == null) {
             throw new AssertionError("never came: " + what);
@@ -38,8 +38,8 @@
     }
 
     /** A message as it came: its first line and headers in lower case names, and its body. */
-    record Message(String first, List<String> headers, byte[] body) {
-        String header(String name) {
+    public record Message(String first, List<String> headers, byte[] body) {
+        public String header(String name) {
             return headers.stream()
                     .filter(h -> h.toLowerCase(Locale.ROOT).startsWith(name + ":"))
                     .map(h -> h.substring(name.length() + 1).strip())
@@ -47,17 +47,17 @@
                     .orElse(null);
         }
 
-        String text() {
+        public String text() {
             return new String(body, StandardCharsets.ISO_8859_1);
         }
 
-        int status() {
+        public int status() {
             return Integer.parseInt(first.split(" ")[1]);
         }
     }
 
     /** Reads one message with a Content-Length or none; an end of the stream is an {@link IOException}. */
-    static Message read(InputStream in) throws IOException {
+    public static Message read(InputStream in) throws IOException {
         ByteArrayOutputStream head = new ByteArrayOutputStream();
         while (!head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
             int b = in.read();
@@ -79,19 +79,19 @@
     }
 
     /** A listening peer: each message that comes is noted, then the script deals with it. */
-    static final class Server implements AutoCloseable {
-        final ServerSocket socket;
-        final BlockingQueue<Seen> seen = new LinkedBlockingQueue<>();
-        final List<Socket> connections = new CopyOnWriteArrayList<>();
+    public static final class Server implements AutoCloseable {
+        public final ServerSocket socket;
+        public final BlockingQueue<Seen> seen = new LinkedBlockingQueue<>();
+        public final List<Socket> connections = new CopyOnWriteArrayList<>();
         private final Consumer<Seen> script;
 
-        Server(Consumer<Seen> script) throws IOException {
+        public Server(Consumer<Seen> script) throws IOException {
             this.script = script;
             this.socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
             start(this::accept);
         }
 
-        String address() {
+        public String address() {
             return "127.0.0.1:" + socket.getLocalPort();
         }
 
@@ -137,8 +137,8 @@
     }
 
     /** A message that a server got; {@code ended} is done when its connection is. */
-    record Seen(Message message, Socket socket, CompletableFuture<Void> ended) {
-        void write(String text) {
+    public record Seen(Message message, Socket socket, CompletableFuture<Void> ended) {
+        public void write(String text) {
             try {
                 socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
             } catch (IOException e) {
@@ -146,19 +146,19 @@
             }
         }
 
-        void answer(int status, String headers, String body) {
+        public void answer(int status, String headers, String body) {
             write("HTTP/1.1 " + status + " x\r\n" + headers + "Content-Length: " + body.length() + "\r\n\r\n" + body);
         }
 
-        void served(String body) {
+        public void served(String body) {
             answer(200, "", body);
         }
 
-        void notRun() {
+        public void notRun() {
             answer(503, "X-Not-Run: 1\r\n", "");
         }
 
-        void finish() {
+        public void finish() {
             try {
                 socket.shutdownOutput();
             } catch (IOException e) {
@@ -166,7 +166,7 @@
             }
         }
 
-        void reset() {
+        public void reset() {
             try {
                 socket.setSoLinger(true, 0);
                 socket.close();
@@ -175,44 +175,44 @@
             }
         }
 
-        void awaitEnd() throws Exception {
+        public void awaitEnd() throws Exception {
             ended.get(PATIENCE_S, TimeUnit.SECONDS);
         }
     }
 
     /** The application's end of one connection. */
-    static final class Client implements AutoCloseable {
-        final Socket socket;
+    public static final class Client implements AutoCloseable {
+        public final Socket socket;
         private final InputStream in;
 
-        Client(int port) throws IOException {
+        public Client(int port) throws IOException {
             socket = new Socket(InetAddress.getLoopbackAddress(), port);
             socket.setSoTimeout((int) PATIENCE_S * 1000);
             in = new BufferedInputStream(socket.getInputStream());
         }
 
-        Client write(String text) throws IOException {
+        public Client write(String text) throws IOException {
             socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
             return this;
         }
 
-        Client unsafe(String id, long deadlineMs) throws IOException {
+        public Client unsafe(String id, long deadlineMs) throws IOException {
             return write("POST /api HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: " + id
                     + "\r\nX-Class: unsafe\r\nX-Deadline-Ms: " + deadlineMs
                     + "\r\nContent-Length: 4\r\n\r\nbody");
         }
 
-        Client safe(String id, long deadlineMs) throws IOException {
+        public Client safe(String id, long deadlineMs) throws IOException {
             return write("GET /api HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: " + id
                     + "\r\nX-Class: safe\r\nX-Deadline-Ms: " + deadlineMs + "\r\n\r\n");
         }
 
-        Message read() throws IOException {
+        public Message read() throws IOException {
             return Peers.read(in);
         }
 
         /** Whether the proxy has closed, with nothing more sent. */
-        boolean closed() throws IOException {
+        public boolean closed() throws IOException {
             try {
                 return in.read() < 0;
             } catch (SocketException e) {
@@ -227,12 +227,12 @@
     }
 
     /** A host whose queue of connections is full, so that none comes up until {@link #hear}. */
-    static final class Deaf implements AutoCloseable {
+    public static final class Deaf implements AutoCloseable {
         private final ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
         private final List<Socket> fill = new ArrayList<>();
         private Socket last;
 
-        Deaf() throws Exception {
+        public Deaf() throws Exception {
             for (int i = 0; i < 8; i++) {
                 Socket s = new Socket();
                 try {
@@ -246,19 +246,19 @@
             throw new AssertionError("the queue never filled");
         }
 
-        String address() {
+        public String address() {
             return "127.0.0.1:" + server.getLocalPort();
         }
 
         /** Takes the connections that fill the queue, and then the one that waited. */
-        void hear() throws Exception {
+        public void hear() throws Exception {
             server.setSoTimeout((int) Peers.PATIENCE_S * 1000);
             for (int i = 0; i <= fill.size(); i++) {
                 last = server.accept();
             }
         }
 
-        boolean silent() throws Exception {
+        public boolean silent() throws Exception {
             last.setSoTimeout((int) Peers.PATIENCE_S * 1000);
             return last.getInputStream().read() < 0;
         }
@@ -273,18 +273,18 @@
     }
 
     /** Discovery: answers a watch when the test asks for it, and leaves it open for {@link #push}. */
-    static final class Discovery implements AutoCloseable {
-        final Server server = new Server(seen -> {});
+    public static final class Discovery implements AutoCloseable {
+        public final Server server = new Server(seen -> {});
 
-        Discovery() throws IOException {}
+        public Discovery() throws IOException {}
 
-        Seen asked() throws InterruptedException {
+        public Seen asked() throws InterruptedException {
             Seen watch = next(server.seen, "a watch");
             watch.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
             return watch;
         }
 
-        static void push(Seen watch, String line) {
+        public static void push(Seen watch, String line) {
             watch.write(Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n");
         }
 
@@ -294,17 +294,17 @@
         }
     }
 
-    static String host(String id, String address, String state) {
+    public static String host(String id, String address, String state) {
         return "{\"id\":\"" + id + "\",\"addr\":\"" + address + "\",\"zone\":\"east\","
                 + "\"kind\":\"m\",\"cell\":1,\"state\":\"" + state + "\",\"weight\":1.0,\"started_ms\":0}";
     }
 
-    static String list(int version, boolean full, String... hosts) {
+    public static String list(int version, boolean full, String... hosts) {
         return "{\"version\":" + version + ",\"full\":" + full + ",\"servers\":[" + String.join(",", hosts) + "]}";
     }
 
     /** A configuration; {@code limits} are further ones, each with a comma before it. */
-    static String config(int port, String discovery, String limits, String known) {
+    public static String config(int port, String discovery, String limits, String known) {
         String one = "{\"name\":\"%s\",\"effect\":\"%s\",\"dedupScope\":\"zone\",\"dedupWindowUs\":20000000,"
                 + "\"onTimeUs\":20000000,\"deadlineUs\":20000000,\"worth\":1}";
         return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"" + discovery
