A server's 503 without X-Not-Executed is no promise to pass on

Cause: 408, 429 and 503 tell a client that its request never ran, and it may send it again. A request that may run once gets 502 of our own instead, without the seal; one that may be repeated still gets the server's own word.

Red without the mend: AnswersTest.aRefusalWithoutTheMarkPromisesNothing (503 where 502 is due).

--- a/src/main/java/quartzspan/frontend/ProxiedRequest.java
+++ b/src/main/java/quartzspan/frontend/ProxiedRequest.java
@@ -260,7 +260,7 @@
                 && (tried.contains(server) ? reached.size() < route.maxAttempts() : sends < 3)
                 && tried.size() < 8
                 && (!arrived || proxy.placement().mayRepeat());
-        if (outcome == Outcome.FAILED && answer != null) {
+        if (outcome == Outcome.FAILED && answer != null && (route.repeatable() || !promisesNotRun(head.status()))) {
             // The server's own word: it ran, and this is what came of it.
             conclude(head.status(), new Answer(answer.body(), null, own(passedOn(answer.headers()))), 0);
         } else if (again) {
@@ -270,6 +270,14 @@
         }
     }
 
+    /** Clients take these for a promise that the request has not run and never will. */
+    private static boolean promisesNotRun(HttpResponseStatus status) {
+        return switch (status.code()) {
+            case 408, 421, 429, 503 -> true;
+            default -> false;
+        };
+    }
+
     private static HttpHeaders own(HttpHeaders headers) {
         return headers.remove(HttpHeaderNames.CONTENT_LENGTH).remove(HttpHeaderNames.TRANSFER_ENCODING);
     }
--- a/src/test/java/quartzspan/frontend/AnswersTest.java
+++ b/src/test/java/quartzspan/frontend/AnswersTest.java
@@ -73,6 +73,22 @@
         assertNoPromise(client().write(request("once", "a1")).read());
     }
 
+    @Test
+    void aRefusalWithoutTheMarkPromisesNothing() throws Exception {
+        // 429, 503 and 408 tell a client that its request never runs; without the mark a server did not say so.
+        for (int status : new int[] {503, 429, 408}) {
+            Server server = server(
+                    "unmarked" + status,
+                    s -> s.write(answer(
+                            status, "X-Attempt-Id: " + id(s) + "\r\nX-Server-Seal: seal.1\r\nRetry-After: 1\r\n", "")));
+            Message answer = client().write(request("once", "a" + status)).read();
+            assertNoPromise(answer);
+            assertEquals(null, answer.header("retry-after"));
+            assertEquals(1, server.seen.size());
+            server.close();
+        }
+    }
+
     @Test
     void aFailureIsPassedOnWithItsServersStatusAndSeal() throws Exception {
         server("failing", s -> s.write(answer(500, "X-Attempt-Id: " + id(s) + "\r\nX-Server-Seal: seal.5\r\n", "why")));
