Registry: entries' names are texts, not records

A record as key of a map brings the method handles of its equals and hashCode into every start (LambdaForm classes that no class archive holds).

--- a/src/main/java/quartzspan/registry/Registry.java
+++ b/src/main/java/quartzspan/registry/Registry.java
@@ -23,9 +23,9 @@
 
     private final Map<RegistryEntry.Subject, Shelf> shelves = new EnumMap<>(RegistryEntry.Subject.class);
     /** The same entries by bucket, so that an answer looks only at what differs. */
-    private final List<Map<EntryKey, RegistryEntry>> byBucket = new ArrayList<>();
+    private final List<Map<String, RegistryEntry>> byBucket = new ArrayList<>();
 
-    private final Map<EntryKey, Long> goneAt = new HashMap<>();
+    private final Map<String, Long> goneAt = new HashMap<>();
     private final long[] buckets = new long[BUCKETS];
     private List<Server> servers = List.of();
     private long serversAsOf;
@@ -36,12 +36,6 @@
     /** The latest time at which what is held here was surely the newest. */
     private long freshAt = Long.MIN_VALUE / 2;
 
-    private record EntryKey(RegistryEntry.Subject subject, String key) {
-        static EntryKey of(RegistryEntry entry) {
-            return new EntryKey(entry.subject(), entry.key());
-        }
-    }
-
     /** The entries of one subject; lists derived from them are kept until the next change. */
     private static final class Shelf {
         final Map<String, RegistryEntry> entries = new HashMap<>();
@@ -71,6 +65,15 @@
         }
     }
 
+    /** Names an entry among those of all subjects: the subject's digit, then the key. */
+    private static String id(RegistryEntry entry) {
+        return entry.subject().ordinal() + entry.key();
+    }
+
+    private Shelf shelf(String id) {
+        return shelves.get(RegistryEntry.Subject.values()[id.charAt(0) - '0']);
+    }
+
     private static int bucket(String key) {
         int mixed = key.hashCode() * 0x9e3779b9;
         return mixed >>> 16 & BUCKETS - 1;
@@ -119,16 +122,16 @@
         if (!entry.beats(old)) {
             return false;
         }
-        EntryKey key = EntryKey.of(entry);
+        String id = id(entry);
         int b = bucket(entry.key());
         buckets[b] ^= (old == null ? 0 : old.digest()) ^ entry.digest();
-        byBucket.get(b).put(key, entry);
+        byBucket.get(b).put(id, entry);
         shelf.entries.put(entry.key(), entry);
         shelf.changes++;
         if (entry.state() == RegistryEntry.State.GONE || entry.state() == RegistryEntry.State.LOST) {
-            goneAt.put(key, now);
+            goneAt.put(id, now);
         } else {
-            goneAt.remove(key);
+            goneAt.remove(id);
         }
         return true;
     }
@@ -139,8 +142,8 @@
             if (now - e.getValue() < FORGET_MS) {
                 return false;
             }
-            Shelf shelf = shelves.get(e.getKey().subject());
-            RegistryEntry forgotten = shelf.entries.remove(e.getKey().key());
+            Shelf shelf = shelf(e.getKey());
+            RegistryEntry forgotten = shelf.entries.remove(e.getKey().substring(1));
             shelf.changes++;
             int b = bucket(forgotten.key());
             byBucket.get(b).remove(e.getKey());
