Replication: a standby holds a vote and a copy before it is needed; the dropped voter asks again

Mend: one standby is taken in beside 2f+1 voters, with a copy more; the spare vote goes when a voter is silent or leaves. Whoever is not among the voters of its newest view asks. left() holds once the view without the leaver is in force. MessageCodecTest's own map order was left to chance.

--- a/src/main/java/quartzspan/replication/Candidacy.java
+++ b/src/main/java/quartzspan/replication/Candidacy.java
@@ -348,16 +348,23 @@
         able.remove(context.self());
         able.sort(Comparator.<String, Boolean>comparing(plan.avoided()::contains)
                 .thenComparing(name -> !latest.copies().contains(name)));
-        int wanted = Math.min(context.losses() + 1, voters.size());
-        if (able.size() + 1 < wanted) {
+        int needed = Math.min(context.losses() + 1, voters.size());
+        if (able.size() + 1 < needed) {
             return null;
         }
+        int count = Math.min(wantedCopies(voters, context.losses()), able.size() + 1);
         List<String> copies = new ArrayList<>();
         copies.add(context.self());
-        copies.addAll(able.subList(0, wanted - 1));
+        copies.addAll(able.subList(0, count - 1));
         return copies;
     }
 
+    /** One copy more than may be lost at once, and one for each voter more than that needs. */
+    static int wantedCopies(List<String> voters, int losses) {
+        int spare = Math.max(0, voters.size() - (2 * losses + 1));
+        return Math.min(losses + 1 + spare, voters.size());
+    }
+
     private void fetch() {
         if (source.equals(context.self())) {
             copyState(null);
--- a/src/main/java/quartzspan/replication/Leadership.java
+++ b/src/main/java/quartzspan/replication/Leadership.java
@@ -159,7 +159,7 @@
         ReplicaMessage heartbeat = ReplicaMessage.of(Kind.HEARTBEAT, view.ballot())
                 .withView(view)
                 .withNonce(nonce)
-                .withOk(!standbys.isEmpty())
+                .withOk(hasSpareVoter(now))
                 .withCopy(copy.ballot(), copy.index())
                 .withSilences(contacts.silences(now, view.voters()));
         Set<String> to = view.electorate();
@@ -363,10 +363,11 @@
         long now = context.now();
         Set<String> failing = failingCopies(now);
         List<String> voters = wantedVoters(now);
-        boolean few = view.copies().size()
-                < Math.min(context.losses() + 1, view.voters().size());
-        boolean canReplace = healthyOthers(now, failing) >= context.losses();
-        if ((!failing.isEmpty() || few) && canReplace || voters != null) {
+        long healthy = healthyOthers(now, failing);
+        int wanted = Candidacy.wantedCopies(view.voters(), context.losses());
+        boolean canReplace = !failing.isEmpty() && healthy >= context.losses();
+        boolean canAdd = view.copies().size() < wanted && healthy >= wanted - 1;
+        if (canReplace || canAdd || voters != null) {
             listener.reform(plan(voters, failing));
         }
     }
@@ -399,26 +400,36 @@
                 .count();
     }
 
-    /** The voters as they should be, one change away from what they are; null if they are as they should be. */
+    /**
+     * The voters as they should be, one change away from what they are; null if they are as they should be.
+     *
+     * <p>One standby is taken in beside all others, as voter and copy, so that whoever ends next is not missed.
+     */
     private List<String> wantedVoters(long now) {
-        List<String> standbys = contacts.standbys(now, view);
-        if (standbys.isEmpty() || view.joint()) {
+        if (view.joint()) {
             return null;
         }
+        List<String> standbys = contacts.standbys(now, view);
         List<String> voters = new ArrayList<>(view.voters());
-        String joining = standbys.get(0);
-        if (voters.size() < 2 * context.losses() + 1) {
-            voters.add(joining);
-            return voters;
-        }
+        int needed = 2 * context.losses() + 1;
         String replaced = voterToReplace(now);
-        if (replaced == null) {
+        if (replaced != null && !standbys.isEmpty()) {
+            voters.set(voters.indexOf(replaced), standbys.get(0));
+        } else if (replaced != null && voters.size() > needed) {
+            voters.remove(replaced);
+        } else if (replaced == null && !standbys.isEmpty() && voters.size() <= needed) {
+            voters.add(standbys.get(0));
+        } else {
             return null;
         }
-        voters.set(voters.indexOf(replaced), joining);
         return voters;
     }
 
+    /** Whether a voter that ends can be done without. */
+    private boolean hasSpareVoter(long now) {
+        return !contacts.standbys(now, view).isEmpty() || view.voters().size() > 2 * context.losses() + 1;
+    }
+
     /** The voter that has been silent for longest, or else one that is about to end; null if there is none. */
     private String voterToReplace(long now) {
         String silent = null;
--- a/src/main/java/quartzspan/replication/Replica.java
+++ b/src/main/java/quartzspan/replication/Replica.java
@@ -49,8 +49,8 @@
     private long primaryHeardAt;
     /** The ballot of the view that was last heard to be in force. */
     private Ballot inForceBallot = Ballot.NONE;
-    /** Whether the primary knows of a standby. */
-    private boolean standbyKnown;
+    /** Whether the primary can do without this replica's vote. */
+    private boolean replaceable;
 
     private long standAfter;
     private long askAt;
@@ -150,7 +150,7 @@
         if (voter.blank()) {
             return "BLANK";
         }
-        if (!view().electorate().contains(context.self())) {
+        if (!view().voters().contains(context.self())) {
             return "STANDBY";
         }
         if (leadership != null) {
@@ -227,11 +227,13 @@
 
     /** Whether nothing is lost when a replica that leaves ends now. */
     public boolean left(long now) {
-        boolean standby = !view().electorate().contains(context.self());
-        boolean heard = now - primaryHeardAt < Timing.ISOLATED_MS && inForceBallot.equals(view().ballot());
-        boolean holdsCopy = view().copies().contains(context.self());
-        boolean voteWanted = standbyKnown && !standby;
-        return leaving && !primary() && (standby || heard && !holdsCopy && !voteWanted);
+        boolean inForce = inForceBallot.equals(view().ballot());
+        if (!leaving || primary() || !inForce) {
+            return false;
+        }
+        boolean heard = now - primaryHeardAt < Timing.ISOLATED_MS;
+        boolean needed = view().copies().contains(context.self()) || replaceable;
+        return !view().voters().contains(context.self()) || heard && !needed;
     }
 
     // ---- time ----------------------------------------------------------------------------------------
@@ -272,7 +274,8 @@
             others().forEach(name -> context.send(name, recovery.request()));
         } else if (leaving) {
             askToLeave();
-        } else if (!view().electorate().contains(context.self())) {
+        } else if (!view().voters().contains(context.self())) {
+            // Also one of the previous voters of a joint view: it is not told when that view is settled.
             ReplicaMessage request = ReplicaMessage.of(Kind.RECOVERY, Ballot.NONE)
                     .withNonce(voter.lifeNonce())
                     .withGeneration(voter.generation());
@@ -501,7 +504,7 @@
         }
         primaryHeardAt = context.now();
         inForceBallot = ballot;
-        standbyKnown = heartbeat.ok();
+        replaceable = heartbeat.ok();
         contacts.learnSilences(context.now(), heartbeat.silences());
         if (voter.blank()) {
             // Tells whom to ask; to answer would be to vouch for a ballot.
@@ -634,7 +637,7 @@
 
     private void onRecoveryReply(String from, ReplicaMessage reply) {
         if (!voter.blank()) {
-            if (!view().electorate().contains(context.self())) {
+            if (!view().voters().contains(context.self())) {
                 voter.learn(reply.view());
             }
             return;
--- a/src/main/java/quartzspan/replication/ReplicaMessage.java
+++ b/src/main/java/quartzspan/replication/ReplicaMessage.java
@@ -10,7 +10,7 @@
  * @param nonce which heartbeat is answered; of a recovery request: which life of the disk asks
  * @param promised the highest ballot that the sender has promised, durably
  * @param copyBallot with {@code index}: the state that the sender holds a copy of
- * @param ok whether what was asked is granted; of a heartbeat: whether a standby is known; of a vote request: whether the
+ * @param ok whether what was asked is granted; of a heartbeat: whether a voter can be done without; of a vote request: whether the
  *     primary has handed over
  * @param blank whether the sender has lost what it once promised
  * @param generation how often the sender's disk was lost; of a copy: the generation of the disk that it is meant for
--- a/src/main/java/quartzspan/store/SlotStore.java
+++ b/src/main/java/quartzspan/store/SlotStore.java
@@ -32,6 +32,8 @@
     private boolean torn;
     /** Whether the log's first bytes may not be this generation's. */
     private boolean headless;
+    /** Whether the log's name is known to be on the disk. */
+    private boolean logNamed;
 
     public SlotStore(Disk disk) {
         this.disk = disk;
@@ -64,6 +66,10 @@
             }
         }
         byte[] log = readSynced(LOG);
+        if (any || log != null) {
+            disk.syncFolder();
+        }
+        logNamed = log != null;
         List<byte[]> records = new ArrayList<>();
         if (state == null) {
             // Before the first checkpoint is whole nothing was ever promised: what there is was begun and not finished.
@@ -74,7 +80,6 @@
         }
         if (log == null || log.length < 8 || ByteBuffer.wrap(log).getLong() != generation) {
             restartLog();
-            disk.syncFolder();
             return new Contents(state, records);
         }
         int at = 8;
@@ -176,6 +181,7 @@
         generation = 0;
         end = 0;
         torn = false;
+        logNamed = false;
     }
 
     private void restartLog() {
@@ -184,8 +190,9 @@
         disk.truncate(LOG, 0);
         disk.write(LOG, 0, ByteBuffer.allocate(8).putLong(generation).array());
         disk.sync(LOG);
-        if (generation <= 2) {
+        if (!logNamed) {
             disk.syncFolder();
+            logNamed = true;
         }
         headless = false;
         torn = false;
--- /dev/null
+++ b/src/test/java/quartzspan/replication/HandoverTest.java
@@ -0,0 +1,129 @@
+package quartzspan.replication;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import org.junit.jupiter.api.Test;
+import quartzspan.replication.SimulatedCluster.Machine;
+
+/** A replica that is told to end hands over the lead, its copy and its vote first. */
+class HandoverTest {
+    private static final long CALM_MS = 3_000;
+    private static final long HANDOVER_MS = 1_500;
+
+    private static SimulatedCluster calm(int losses) {
+        SimulatedCluster cluster = new SimulatedCluster(7, losses);
+        cluster.machines.values().forEach(machine -> machine.start(true));
+        cluster.run(cluster.now + 3 * CALM_MS);
+        cluster.race(1);
+        cluster.run(cluster.now + CALM_MS);
+        assertEquals(1, cluster.acked.size());
+        return cluster;
+    }
+
+    private static Machine backup(SimulatedCluster cluster) {
+        View view = cluster.primary().replica.view();
+        return cluster.machines.get(view.copies().get(1));
+    }
+
+    private static void end(SimulatedCluster cluster, Machine machine) {
+        machine.kill();
+        cluster.machines.remove(machine.name);
+    }
+
+    private static void assertTakesChanges(SimulatedCluster cluster) {
+        int before = cluster.acked.size();
+        cluster.race(1);
+        cluster.run(cluster.now + CALM_MS);
+        assertEquals(before + 1, cluster.acked.size());
+    }
+
+    @Test
+    void aPrimaryThatLeavesHandsOverTheLeadAtOnce() {
+        SimulatedCluster cluster = calm(1);
+        Machine leaver = cluster.primary();
+        leaver.replica.leave(cluster.now);
+        cluster.run(cluster.now + HANDOVER_MS);
+        assertTrue(leaver.replica.left(cluster.now));
+        assertFalse(leaver.replica.primary());
+        View view = cluster.primary().replica.view();
+        assertFalse(view.copies().contains(leaver.name), view.text());
+        assertEquals(2, view.copies().size());
+    }
+
+    @Test
+    void aBackupThatLeavesHoldsNoCopyWhenItEnds() {
+        SimulatedCluster cluster = calm(1);
+        Machine leaver = backup(cluster);
+        leaver.replica.leave(cluster.now);
+        cluster.run(cluster.now + HANDOVER_MS);
+        assertTrue(leaver.replica.left(cluster.now));
+        View view = cluster.primary().replica.view();
+        assertFalse(view.copies().contains(leaver.name), view.text());
+        assertEquals(2, view.copies().size());
+    }
+
+    /** The letter's third point: the leaver goes, and the primary's disk is lost right after. */
+    @Test
+    void whatWasAcknowledgedOutlivesALeavingBackupAndTheDiskOfItsPrimaryRightAfter() {
+        for (int losses = 1; losses <= 2; losses++) {
+            SimulatedCluster cluster = calm(losses);
+            Machine standby = cluster.new Machine("10.0.9.9:7000");
+            cluster.machines.put(standby.name, standby);
+            standby.start(false);
+            cluster.run(cluster.now + 2 * CALM_MS);
+            Machine leaver = backup(cluster);
+            leaver.replica.leave(cluster.now);
+            cluster.run(cluster.now + HANDOVER_MS);
+            assertTrue(leaver.replica.left(cluster.now));
+            assertEquals("STANDBY", leaver.replica.role(), "the standby has its vote");
+            end(cluster, leaver);
+            Machine wiped = cluster.primary();
+            wiped.kill();
+            wiped.disk = new ArrayList<>();
+            cluster.run(cluster.now + 500);
+            wiped.start(false);
+            cluster.run(cluster.now + CALM_MS);
+            assertTakesChanges(cluster);
+            Change first = cluster.acked.firstEntry().getValue();
+            ControlState state = cluster.primary().replica.state();
+            assertEquals(state, state.with(first), "f = " + losses);
+        }
+    }
+
+    @Test
+    void withoutAnybodyToTakeOverAPrimaryKeepsTheLeadUntilItEnds() {
+        SimulatedCluster cluster = calm(1);
+        Machine leaver = cluster.primary();
+        Set<Machine> others = new TreeSet<>((a, b) -> a.name.compareTo(b.name));
+        others.addAll(cluster.machines.values());
+        others.remove(leaver);
+        Machine backup = backup(cluster);
+        backup.replica.leave(cluster.now);
+        leaver.replica.leave(cluster.now);
+        cluster.run(cluster.now + HANDOVER_MS);
+        assertNotEquals(null, cluster.primary(), "somebody leads");
+        assertTakesChanges(cluster);
+        assertEquals(2, others.size());
+    }
+
+    @Test
+    void whoComesBackAfterLeavingHoldsItsVoteAsBefore() {
+        SimulatedCluster cluster = calm(1);
+        Machine leaver = cluster.primary();
+        leaver.replica.leave(cluster.now);
+        cluster.run(cluster.now + HANDOVER_MS);
+        leaver.kill();
+        cluster.run(cluster.now + 300);
+        leaver.start(false);
+        cluster.run(cluster.now + CALM_MS);
+        assertEquals(List.of("WITNESS"), List.of(leaver.replica.role()));
+        assertTakesChanges(cluster);
+    }
+}
--- a/src/test/java/quartzspan/transport/MessageCodecTest.java
+++ b/src/test/java/quartzspan/transport/MessageCodecTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
 import quartzspan.common.FleetException;
 import quartzspan.promptindex.PromptIndexUpdate;
@@ -31,7 +32,7 @@
             false,
             4,
             Map.of("10.0.0.1:7", 2L),
-            Map.of("10.0.0.2:7", 700L, "10.0.0.3:7", 0L),
+            new TreeMap<>(Map.of("10.0.0.2:7", 700L, "10.0.0.3:7", 0L)),
             new View(
                     new Ballot(5, "10.0.0.1:7", -9),
                     "10.0.0.1:7",
