--- a/src/main/java/quartzspan/controlplane/CallTable.java
+++ b/src/main/java/quartzspan/controlplane/CallTable.java
@@ -9,11 +9,15 @@
 import java.util.Map;
 import mulleinfront.proxy.Frontend.Client;
 import mulleinfront.proxy.Upstream.Answer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import quartzspan.common.FleetException;
 import quartzspan.common.JsonLines;
 
 /** The calls that servers and operators make, each declared beside its handler. */
 final class CallTable {
+    private static final Logger LOG = LoggerFactory.getLogger(CallTable.class);
+
     /** One call; {@code rest} is what follows the declared path. */
     interface Handler {
         void handle(Client client, HttpRequest in, byte[] body, String rest);
@@ -49,6 +53,16 @@
             }
         } catch (FleetException why) {
             refuse(client, why);
+        } catch (RuntimeException why) {
+            // The caller goes on to another machine; without an answer it would have to wait for its own time to run
+            // out.
+            LOG.error("{} {} failed", in.method(), path, why);
+            error(
+                    client,
+                    HttpResponseStatus.INTERNAL_SERVER_ERROR,
+                    "FAILED",
+                    "the call failed",
+                    "ask another machine of the core");
         }
     }
 
--- a/src/main/java/quartzspan/controlplane/ControlPlane.java
+++ b/src/main/java/quartzspan/controlplane/ControlPlane.java
@@ -6,7 +6,6 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import jakarta.json.JsonArray;
 import jakarta.json.JsonObject;
@@ -17,24 +16,19 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
-import mulleinfront.Balancer.Outcome;
-import mulleinfront.proxy.Call;
 import mulleinfront.proxy.Clock;
-import mulleinfront.proxy.Framing;
 import mulleinfront.proxy.Frontend;
 import mulleinfront.proxy.Upstream;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import quartzspan.common.FleetException;
-import quartzspan.common.JsonLines;
 import quartzspan.common.Settings;
 import quartzspan.configuration.Configuration;
-import quartzspan.promptindex.KvEventFollower;
-import quartzspan.promptindex.PromptIndex;
 import quartzspan.promptindex.PromptIndexUpdate;
 import quartzspan.registry.Gossip;
 import quartzspan.registry.GossipMessage;
@@ -60,23 +54,15 @@
     private static final Logger LOG = LoggerFactory.getLogger(ControlPlane.class);
     private static final int TICK_MS = 50;
     private static final int MOST_BODY = 12 * 1024 * 1024;
-    /** What is told of a server that leaves must be known elsewhere before it is answered; the server waits a second. */
-    private static final int SURE_MS = 850;
     /** Older knowledge than this is no ground to count anybody as lost. */
     private static final long IN_TOUCH_MS = 1_000;
-    /** How long a primary out of touch may go on before it knows: added to the lease of a duty. */
-    private static final long STALE_DUTY_MS = 1_000;
-    /** An order is sent only by one whose place was confirmed within this. */
-    private static final long SURE_PLACE_MS = 450;
 
     private static final int DIAL_US = 500_000;
-    private static final int ORDER_US = 2_000_000;
-    private static final int REPORT_EVERY_MS = 250;
-    /** Between telling that a server will load weights and ordering it to. */
-    private static final long TOLD_MS = 60;
-
-    private static final long WATCH_MS = 100;
-    /** A core machine not heard for so long follows no server's events any more. */
+    private static final int IDLE_US = 2_000_000;
+    private static final int MOST_CONNECTIONS = 256;
+    private static final long UNKNOWN_FENCE = -2;
+    private static final int UNUSED_LINK_MS = 10_000;
+    /** A core machine not heard for so long counts as away. */
     private static final long CORE_ALIVE_MS = 1_500;
 
     private final Settings settings;
@@ -92,28 +78,20 @@
     private final Replica replica;
     private final Frontend frontend;
     private final Upstream upstream;
-    private final Rollout rollout = new Rollout();
     private final Frontend.Terms terms;
     private final CallTable calls;
     private final String self;
-    private final Map<Long, Waiting> waiting = new HashMap<>();
-    private long tickets;
-    private boolean claiming;
-    private long dutySince = Long.MAX_VALUE / 2;
-    private long orders;
-    private final PromptIndex promptIndex = new PromptIndex();
-    /** Servers whose events this machine follows. */
-    private final Map<String, KvEventFollower> watches = new HashMap<>();
-
+    private final ReplicaTickets tickets = new ReplicaTickets();
+    private final LeaveAcknowledgements leaves;
+    private final ServerClient servers;
+    private final RolloutDuty rollout;
+    private final PromptIndexFollowing promptIndex;
+    private final GracefulStop ending;
+    private final CountDownLatch ended = new CountDownLatch(1);
+    /** When other core machines were last heard. */
     private final Map<String, Long> coreHeard = new HashMap<>();
-    private long watchAt;
-    private final Map<String, Long> reportAt = new HashMap<>();
-    private String lastRole = "";
-    private final Map<String, Upstream.Host> hosts = new HashMap<>();
 
-    private interface Waiting {
-        void done(FleetException why, ControlState state);
-    }
+    private String lastRole = "";
 
     private ControlPlane(Settings settings, EventLoopGroup group, EventLoop loop) {
         this.settings = settings;
@@ -128,7 +106,8 @@
         this.terms = new Frontend.Terms(Math.max(64, settings.descriptors() / 2), 32 * 1024, MOST_BODY, 30_000, 30_000);
         this.replicaStore = new ReplicaStore(new SlotStore(new FileDisk(settings.disk())));
         List<byte[]> kept = open(replicaStore);
-        this.upstream = new Upstream(loop, DIAL_US, 2_000_000, 256);
+        this.upstream = new Upstream(loop, DIAL_US, IDLE_US, MOST_CONNECTIONS);
+        this.servers = new ServerClient(upstream);
         this.transport = new TcpTransport(loop, new Hello(true, self, text(control), settings.zone()), this::received);
         this.heartbeats = new HeartbeatTracker(registry, settings.heartbeatMs());
         this.gossip = new Gossip(self, true, seeds, registry, transport::send);
@@ -157,10 +136,7 @@
 
                     @Override
                     public void done(long ticket, FleetException why, ControlState state) {
-                        Waiting w = waiting.remove(ticket);
-                        if (w != null) {
-                            w.done(why, state);
-                        }
+                        tickets.done(ticket, why, state);
                     }
 
                     @Override
@@ -168,19 +144,21 @@
                         inForce(epoch, index, state);
                     }
                 });
+        this.leaves = new LeaveAcknowledgements(gossip);
+        this.rollout = new RolloutDuty(self, settings.bounds().leaseMs(), this::reign, new RolloutOrders());
+        this.promptIndex = new PromptIndexFollowing(this::ms, self, registry, gossip, transport, servers);
+        this.ending =
+                new GracefulStop(new ReplicaMember(), (long) (settings.bounds().gracePeriodS() * 1000));
+        ServerCalls fromServers =
+                new ServerCalls(this::ms, registry, heartbeats, gossip, leaves, this::holdersOfLeaves);
+        OperatorCalls fromOperators = new OperatorCalls(this::ms, replica, registry, tickets);
         this.calls = new CallTable()
-                .on("POST", "/quartzspan/Instances.Heartbeat/", this::heartbeat)
-                .on("POST", "/quartzspan/Instances.Deregister/", this::deregister)
-                .on(
-                        "POST",
-                        "/quartzspan/Configuration.Replace",
-                        (c, in, b, rest) -> change(c, in, Change.Kind.REPLACE, b))
-                .on(
-                        "POST",
-                        "/quartzspan/Configuration.Update",
-                        (c, in, b, rest) -> change(c, in, Change.Kind.UPDATE, b))
-                .on("GET", "/quartzspan/Configuration.Describe", this::describe)
-                .on("POST", "/quartzspan/version-put", (c, in, b, rest) -> change(c, in, Change.Kind.WEIGHTS, b))
+                .on("POST", "/quartzspan/Instances.Heartbeat/", fromServers::heartbeat)
+                .on("POST", "/quartzspan/Instances.Deregister/", fromServers::deregister)
+                .on("POST", "/quartzspan/Configuration.Replace", fromOperators::replace)
+                .on("POST", "/quartzspan/Configuration.Update", fromOperators::update)
+                .on("GET", "/quartzspan/Configuration.Describe", fromOperators::describe)
+                .on("POST", "/quartzspan/version-put", fromOperators::nameWeights)
                 .on("GET", "/quartzspan/status", this::status);
     }
 
@@ -241,8 +219,14 @@
         return c;
     }
 
-    /** Ends: what was answered is on disk, and the others take over. */
+    /** Hands over, answering or redirecting calls meanwhile, and ends: what was answered is on disk. */
     public void stop() {
+        loop.execute(() -> ending.begin(ms()));
+        try {
+            ended.await((long) (settings.bounds().gracePeriodS() * 1000), TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
         loop.execute(frontend::leave);
         group.shutdownGracefully(0, 200, TimeUnit.MILLISECONDS).awaitUninterruptibly();
         disk.shutdownNow();
@@ -303,24 +287,43 @@
                 }
             }
             registry.tidy(now);
-            transport.tidy(10_000);
-            duty(now);
-            if (now >= watchAt) {
-                watchAt = now + WATCH_MS;
-                watch(now);
+            transport.tidy(UNUSED_LINK_MS);
+            servers.tidy(this::gone);
+            leaves.onTick(now);
+            rollout.onTick(now, this::knownServers);
+            promptIndex.onTick(now, coresHeard(now));
+            if (ending.over(now, leaves.idle() && tickets.idle())) {
+                ended.countDown();
             }
         } catch (RuntimeException e) {
             LOG.error("a turn failed", e);
         }
     }
 
+    private boolean gone(String server) {
+        RegistryEntry entry = registry.entry(RegistryEntry.Subject.SERVER, server);
+        return entry != null && entry.state() == RegistryEntry.State.GONE;
+    }
+
+    private List<Server> knownServers() {
+        List<Server> known = new ArrayList<>();
+        registry.all(RegistryEntry.Subject.SERVER).forEach(entry -> known.add(Server.of(entry)));
+        known.removeIf(Objects::isNull);
+        return known;
+    }
+
+    private List<String> coresHeard(long now) {
+        coreHeard.values().removeIf(at -> now - at > CORE_ALIVE_MS);
+        return List.copyOf(coreHeard.keySet());
+    }
+
     private void received(Hello from, Object message) {
         long now = ms();
         if (from.core()) {
             coreHeard.put(from.address(), now);
         }
         if (message instanceof PromptIndexUpdate c) {
-            onPromptIndexUpdate(from, c);
+            promptIndex.received(from.address(), from.core(), c);
         } else if (message instanceof ReplicaMessage step && from.core()) {
             replica.onMessage(now, from.address(), step);
         } else if (message instanceof GossipMessage update) {
@@ -342,444 +345,95 @@
         }
     }
 
-    // ---- servers' calls ------------------------------------------------------------------------------
-
-    private void heartbeat(Frontend.Client client, HttpRequest in, byte[] body, String id) {
-        JsonObject o = Configuration.json(body);
-        String state = o.getString("state", "ready");
-        String model = "";
-        long weights = 0;
-        if (o.get("models") instanceof JsonArray models && !models.isEmpty()) {
-            model = models.getJsonObject(0).getString("name", "");
-            weights = Configuration.whole(models.getJsonObject(0), "version", 0);
-        }
-        String text = Server.text(
-                o.getString("service", ""), o.getString("address", ""), o.getString("zone", ""), model, weights, 0);
-        Server said =
-                Server.of(new RegistryEntry(RegistryEntry.Subject.SERVER, id, 0, RegistryEntry.State.READY, text));
-        if (said == null) {
-            throw new FleetException(
-                    FleetException.Code.MESSAGE_INVALID, "a heartbeat can't be read", "send it as the page says");
-        }
-        boolean draining = state.equals("draining");
-        RegistryEntry news = heartbeats.beat(
-                ms(),
-                id,
-                Configuration.whole(o, "call_count", 0),
-                draining ? RegistryEntry.State.DRAINING : RegistryEntry.State.READY,
-                said);
-        if (draining) {
-            surely(client, news != null ? news : registry.entry(RegistryEntry.Subject.SERVER, id));
-        } else {
-            tell(news);
-            CallTable.ok(client);
-        }
-    }
-
-    private void deregister(Frontend.Client client, HttpRequest in, byte[] body, String id) {
-        RegistryEntry news = heartbeats.gone(ms(), id);
-        surely(client, news != null ? news : registry.entry(RegistryEntry.Subject.SERVER, id));
-    }
-
-    /** Answers once another core machine knows too: the word must outlive this process. */
-    private void surely(Frontend.Client client, RegistryEntry entry) {
-        if (settings.losses() == 0) {
-            gossip.tell(ms(), new Registry.News(List.of(entry), false), null);
-            CallTable.ok(client);
-            return;
-        }
-        boolean[] answered = {false};
-        client.opened(() -> answered[0] = true);
-        gossip.tellSurely(ms(), new Registry.News(List.of(entry), false), () -> {
-            if (!answered[0]) {
-                answered[0] = true;
-                CallTable.ok(client);
-            }
-        });
-        loop.schedule(
-                () -> {
-                    if (!answered[0]) {
-                        answered[0] = true;
-                        CallTable.refuse(
-                                client,
-                                new FleetException(
-                                        FleetException.Code.NOT_PRIMARY,
-                                        "no other core machine has confirmed it",
-                                        "ask another machine of the core"));
-                    }
-                },
-                SURE_MS,
-                TimeUnit.MILLISECONDS);
-    }
-
-    // ---- operators' calls ----------------------------------------------------------------------------
-
-    private void change(Frontend.Client client, HttpRequest in, Change.Kind kind, byte[] body) {
-        long base =
-                kind == Change.Kind.WEIGHTS ? 0 : Framing.number(in.headers().get("X-Base-Version"));
-        if (base < 0) {
-            throw new FleetException(
-                    FleetException.Code.CONFIG_INVALID,
-                    "X-Base-Version is missing",
-                    "name the version that the change builds on, 0 for the first");
-        }
-        if (elsewhere(client, in)) {
-            return;
-        }
-        replica.change(ms(), ticket(client, state -> CallTable.ok(client)), new Change(kind, base, body));
-    }
-
-    /** A ticket for the replica's answer, which goes to a client as long as it waits for one. */
-    private long ticket(Frontend.Client client, Consumer<ControlState> granted) {
-        boolean[] left = {false};
-        client.opened(() -> left[0] = true);
-        waiting.put(++tickets, (why, state) -> {
-            if (!left[0]) {
-                if (why == null) {
-                    granted.accept(state);
-                } else {
-                    CallTable.refuse(client, why);
-                }
-            }
-        });
-        return tickets;
-    }
-
-    private void describe(Frontend.Client client, HttpRequest in, byte[] body, String rest) {
-        if (elsewhere(client, in)) {
-            return;
+    private void tell(RegistryEntry news) {
+        if (news != null) {
+            gossip.tell(ms(), news);
         }
-        replica.confirm(
-                ms(),
-                ticket(
-                        client,
-                        state -> CallTable.answer(
-                                client,
-                                HttpResponseStatus.OK,
-                                state.configuration().bytes())));
     }
 
-    /** Sends the caller to the primary, if that is another; whether it did. */
-    private boolean elsewhere(Frontend.Client client, HttpRequest in) {
-        if (replica.primary()) {
-            return false;
-        }
-        String leader = replica.leader(ms());
-        RegistryEntry there = leader == null ? null : registry.entry(RegistryEntry.Subject.CORE, leader);
-        if (there == null) {
-            throw new FleetException(
-                    FleetException.Code.NOT_PRIMARY, "nobody decides at present", "ask again in a moment");
-        }
-        CallTable.redirect(client, "http://" + there.text() + in.uri());
-        return true;
+    /** As many as may be lost at once must hold the word of a server that leaves, besides this machine. */
+    private int holdersOfLeaves() {
+        int others = replica.view().voters().size() - 1;
+        return others < 0 ? settings.losses() : Math.min(settings.losses(), others);
     }
 
     private void status(Frontend.Client client, HttpRequest in, byte[] body, String rest) {
-        long now = ms();
-        StringBuilder json = new StringBuilder("{\"node\":");
-        JsonLines.quote(json, settings.nodeName());
-        JsonLines.quote(json.append(",\"role\":"), replica.role());
-        JsonLines.quote(json.append(",\"leader\":"), String.valueOf(replica.leader(now)));
-        JsonLines.quote(json.append(",\"view\":"), replica.view().text());
-        JsonLines.quote(json.append(",\"duty\":"), registry.state().holder());
-        json.append(",\"promised\":")
-                .append(replica.promised())
-                .append(",\"copy_epoch\":")
-                .append(replica.copyEpoch())
-                .append(",\"copy_index\":")
-                .append(replica.copyIndex())
-                .append(",\"version\":")
-                .append(registry.state().configuration().version())
-                .append(",\"fresh_ms\":")
-                .append(now - registry.freshAt());
-        for (RegistryEntry.Subject subject : RegistryEntry.Subject.values()) {
-            json.append(",\"")
-                    .append(subject.name().toLowerCase(java.util.Locale.ROOT))
-                    .append("s\":[");
-            String comma = "";
-            for (RegistryEntry f : registry.all(subject)) {
-                JsonLines.quote(json.append(comma).append("{\"key\":"), f.key());
-                JsonLines.quote(json.append(",\"state\":"), f.state().name());
-                JsonLines.quote(json.append(",\"text\":"), f.text());
-                json.append('}');
-                comma = ",";
-            }
-            json.append(']');
-        }
         CallTable.answer(
-                client, HttpResponseStatus.OK, json.append('}').toString().getBytes(StandardCharsets.UTF_8));
+                client, HttpResponseStatus.OK, StatusReport.json(ms(), settings.nodeName(), replica, registry));
     }
 
-    // ---- the duty of weights -------------------------------------------------------------------------
+    // ---- the rollout of weights ----------------------------------------------------------------------
 
-    /** Who is primary orders servers about, once whoever did it before has surely stopped. */
-    private void duty(long now) {
+    private Optional<RolloutDuty.Reign> reign() {
         if (!replica.primary()) {
-            dutySince = Long.MAX_VALUE / 2;
-            claiming = false;
-            return;
+            return Optional.empty();
         }
         ControlState state = replica.state();
-        if (state.weights().isEmpty()) {
-            return;
-        }
-        if (!state.holder().equals(self)) {
-            if (!claiming) {
-                claiming = true;
-                long ticket = ++tickets;
-                waiting.put(ticket, (why, claimed) -> {
-                    claiming = false;
-                    if (why == null) {
-                        boolean first = claimed.holder().isEmpty();
-                        dutySince = ms() + (first ? 0 : settings.bounds().leaseMs() + STALE_DUTY_MS);
-                    }
-                });
-                replica.change(now, ticket, new Change(Change.Kind.DUTY, 0, self.getBytes(StandardCharsets.UTF_8)));
-            }
-            return;
-        }
-        if (dutySince > now + 3_600_000) {
-            dutySince = now;
-        }
-        if (now < dutySince || now - replica.confirmedAt() > SURE_PLACE_MS) {
-            return;
-        }
-        hosts.keySet().removeIf(id -> {
-            RegistryEntry f = registry.entry(RegistryEntry.Subject.SERVER, id);
-            return f != null && f.state() == RegistryEntry.State.GONE;
-        });
-        List<Server> servers = new ArrayList<>();
-        registry.all(RegistryEntry.Subject.SERVER).forEach(f -> servers.add(Server.of(f)));
-        servers.removeIf(Objects::isNull);
-        for (Rollout.Order o : rollout.due(now, state.weights(), servers)) {
-            rollout.ordered(now, o.server().id());
-            reportAt.put(o.server().id(), now + REPORT_EVERY_MS);
-            tell(heartbeats.loads(now, o.server().id(), o.version()));
-            // Proxies have time to hear that it will take nothing for a while.
-            loop.schedule(
-                    () -> {
-                        if (replica.primary() && ms() - replica.confirmedAt() < SURE_PLACE_MS) {
-                            order(o);
-                        }
-                    },
-                    TOLD_MS,
-                    TimeUnit.MILLISECONDS);
-        }
-        for (String id : rollout.under(now)) {
-            if (now >= reportAt.getOrDefault(id, 0L)) {
-                reportAt.put(id, now + REPORT_EVERY_MS);
-                servers.stream().filter(s -> s.id().equals(id)).findFirst().ifPresent(this::report);
-            }
-        }
-        reportAt.keySet().removeIf(id -> now - reportAt.get(id) > 10_000);
+        return Optional.of(new RolloutDuty.Reign(
+                replica.view().epoch(), replica.confirmedAt(), state.holder(), fence(state), state.weights()));
     }
 
-    private void tell(RegistryEntry news) {
-        if (news != null) {
-            gossip.tell(ms(), new Registry.News(List.of(news), false), null);
-        }
+    /** Until claims are counted in the control state, each epoch has one claim, and who claimed before is not known. */
+    private static long fence(ControlState state) {
+        return UNKNOWN_FENCE;
     }
 
-    /** The whole answer of a server, whatever it is. */
-    private static final class Plain implements Upstream.Reading {
-        private int status;
-
+    /** What the rollout does, in calls to servers and news to proxies. */
+    private final class RolloutOrders implements RolloutDuty.Out {
         @Override
-        public Outcome outcome(HttpResponse head) {
-            status = head.status().code();
-            return status >= 200 && status < 300 ? Outcome.OK : Outcome.FAILED;
+        public void claim(long epoch) {
+            long ticket = tickets.issue((why, state) -> rollout.claimed(epoch, why == null, epoch));
+            replica.change(ms(), ticket, new Change(Change.Kind.DUTY, 0, self.getBytes(StandardCharsets.UTF_8)));
         }
 
         @Override
-        public boolean whole() {
-            return true;
+        public void announce(Server server, long version) {
+            tell(heartbeats.loads(ms(), server.id(), version));
         }
-    }
-
-    private void order(Rollout.Order o) {
-        long token = replica.view().epoch() * 1_000_000 + ++orders % 1_000_000;
-        StringBuilder json = new StringBuilder("{\"operation\":\"version\",\"model\":");
-        JsonLines.quote(json, o.model());
-        json.append(",\"version\":").append(o.version()).append(",\"method\":\"queue\",\"holder\":");
-        JsonLines.quote(json, settings.nodeName());
-        json.append(",\"fencing_token\":").append(token).append('}');
-        LOG.info("{} is ordered to load version {} of {}", o.server().id(), o.version(), o.model());
-        call(o.server(), "POST", "/quartzspan/order", json.toString(), Map.of(), (status, body) -> {
-            if (status != 200 && status != 202) {
-                LOG.info("{} answers an order with {}", o.server().id(), status);
-            }
-            if (status == 409 || status >= 500) {
-                rollout.refused(ms(), o.server().id());
-            }
-        });
-    }
-
-    private void report(Server s) {
-        call(s, "GET", "/quartzspan/report", "", Map.of(), (status, body) -> {
-            if (status == 200) {
-                JsonObject o = Configuration.json(body);
-                if (!o.getBoolean("busy", false) && o.get("models") instanceof JsonArray models && !models.isEmpty()) {
-                    tell(heartbeats.weighs(ms(), s.id(), Configuration.whole(models.getJsonObject(0), "version", 0)));
-                }
-            }
-        });
-    }
 
-    // ---- what servers keep ---------------------------------------------------------------------------
-
-    /** Each server's events are followed by one core machine of those that are heard: all work out the same one. */
-    private void watch(long now) {
-        coreHeard.values().removeIf(at -> now - at > CORE_ALIVE_MS);
-        List<String> cores = new ArrayList<>(coreHeard.keySet());
-        cores.add(self);
-        Map<String, Server> there = new HashMap<>();
-        for (RegistryEntry f : registry.all(RegistryEntry.Subject.SERVER)) {
-            Server s = Server.of(f);
-            if (s != null
-                    && !s.model().isEmpty()
-                    && f.state() != RegistryEntry.State.GONE
-                    && f.state() != RegistryEntry.State.LOST) {
-                there.put(s.id(), s);
-            }
-        }
-        for (Configuration.Service s :
-                registry.state().configuration().services().values()) {
-            if (s.store() != null) {
-                there.put(
-                        PromptIndex.store(s.store()),
-                        new Server(
-                                PromptIndex.store(s.store()),
-                                s.name(),
-                                s.store(),
-                                s.zone(),
-                                "",
-                                0,
-                                0,
-                                0,
-                                RegistryEntry.State.READY));
-            }
-        }
-        watches.keySet()
-                .removeIf(id -> !there.containsKey(id) || !watcher(id, cores).equals(self));
-        for (Server s : there.values()) {
-            if (watcher(s.id(), cores).equals(self)) {
-                ask(now, s, watches.computeIfAbsent(s.id(), id -> new KvEventFollower(id, System.nanoTime())));
-            }
-        }
-    }
-
-    private static String watcher(String server, List<String> cores) {
-        return Registry.few(server, cores, 1).get(0);
-    }
-
-    private void ask(long now, Server s, KvEventFollower w) {
-        switch (w.due(now)) {
-            case EVENTS -> call(
-                    s,
-                    "GET",
-                    "/quartzspan/kv-events?since=" + w.since(),
-                    "",
-                    Map.of("Wait-Ms", "1000"),
+        @Override
+        public void order(RolloutDuty.Order order) {
+            Server server = order.server();
+            LOG.info("{} is ordered to load version {} of {}", server.id(), order.version(), order.model());
+            servers.post(
+                    server,
+                    "/quartzspan/order",
+                    RolloutDuty.json(order, settings.nodeName()),
+                    () -> rollout.permits(ms(), order),
                     (status, body) -> {
-                        if (status != 200) {
-                            publish(w.failed(ms()));
-                            return;
+                        if (status != 200 && status != 202) {
+                            LOG.info("{} answers an order with {}", server.id(), status);
                         }
-                        JsonObject o = Configuration.json(body);
-                        List<KvEventFollower.Event> events = new ArrayList<>();
-                        for (JsonArray e : o.getJsonArray("events").getValuesAs(JsonArray.class)) {
-                            events.add(new KvEventFollower.Event(
-                                    e.getString(2), e.getString(3), e.getInt(4), e.getString(5)));
-                        }
-                        publish(w.events(
-                                ms(),
-                                Configuration.whole(o, "epoch", 0),
-                                Configuration.whole(o, "next_token", 0),
-                                o.getBoolean("lost", false),
-                                events));
+                        rollout.answered(ms(), order, status);
                     });
-            case LIST -> call(s, "GET", "/quartzspan/kv-list", "", Map.of(), (status, body) -> {
-                if (status != 200) {
-                    publish(w.failed(ms()));
-                    return;
-                }
-                JsonObject o = Configuration.json(body);
-                List<KvEventFollower.Event> held = new ArrayList<>();
-                for (JsonArray e : o.getJsonArray("held").getValuesAs(JsonArray.class)) {
-                    held.add(new KvEventFollower.Event(e.getString(0), e.getString(1), e.getInt(2), e.getString(3)));
-                }
-                publish(List.of(w.list(
-                        ms(), Configuration.whole(o, "epoch", 0), Configuration.whole(o, "next_token", 0), held)));
-            });
-            default -> {}
         }
-    }
 
-    private void publish(List<PromptIndexUpdate> reports) {
-        for (PromptIndexUpdate c : reports) {
-            promptIndex.take(c);
-            gossip.cores().forEach(to -> transport.send(to, c));
-            gossip.askers().forEach(to -> transport.send(to, c));
+        @Override
+        public void report(Server server) {
+            servers.get(server, "/quartzspan/report", Map.of(), (status, body) -> {
+                if (status == 200) {
+                    JsonObject report = Configuration.json(body);
+                    if (!report.getBoolean("busy", false)
+                            && report.get("models") instanceof JsonArray models
+                            && !models.isEmpty()) {
+                        long version = Configuration.whole(models.getJsonObject(0), "version", 0);
+                        tell(heartbeats.weighs(ms(), server.id(), version));
+                    }
+                }
+            });
         }
     }
 
-    private void onPromptIndexUpdate(Hello from, PromptIndexUpdate c) {
-        if (c.kind() == PromptIndexUpdate.Kind.ASK) {
-            PromptIndexUpdate whole = promptIndex.whole(c.server());
-            if (whole != null) {
-                transport.send(from.address(), whole);
-            }
-            return;
-        }
-        if (promptIndex.take(c)) {
-            transport.send(
-                    from.address(),
-                    new PromptIndexUpdate(PromptIndexUpdate.Kind.ASK, c.server(), 0, 0, new long[0], new int[0]));
-        } else if (from.core()) {
-            List<String> cores = gossip.cores();
-            gossip.askers().stream().filter(a -> !cores.contains(a)).forEach(to -> transport.send(to, c));
+    /** This machine's part in the control state, when it ends as planned. */
+    private static final class ReplicaMember implements GracefulStop.Member {
+        @Override
+        public void leave(long now) {
+            // Nothing is handed over yet.
         }
-    }
-
-    private interface Answered {
-        void answered(int status, byte[] body);
-    }
 
-    private void call(Server s, String method, String path, String body, Map<String, String> more, Answered then) {
-        // The connection is kept: a new one costs the server as much as a small request.
-        Upstream.Host host = hosts.computeIfAbsent(s.id(), Upstream.Host::new);
-        int colon = s.address().lastIndexOf(':');
-        host.listed(
-                new InetSocketAddress(
-                        s.address().substring(0, colon),
-                        Integer.parseInt(s.address().substring(colon + 1))),
-                true,
-                4);
-        io.netty.handler.codec.http.HttpHeaders headers =
-                new io.netty.handler.codec.http.DefaultHttpHeaders().set("Host", s.address());
-        if (!s.model().isEmpty()) {
-            headers.set("X-Expected-Instance", s.id());
-        }
-        if (!body.isEmpty()) {
-            headers.set("Content-Type", "application/json");
+        @Override
+        public boolean left() {
+            return true;
         }
-        more.forEach(headers::set);
-        Plain reading = new Plain();
-        upstream.attempt(
-                        host,
-                        new Call(method, path, headers, body.getBytes(StandardCharsets.UTF_8)),
-                        ORDER_US,
-                        () -> true,
-                        reading,
-                        (outcome, answer) -> {
-                            try {
-                                then.answered(
-                                        answer == null ? 0 : reading.status,
-                                        answer == null ? new byte[0] : answer.body());
-                            } catch (RuntimeException e) {
-                                LOG.warn("an answer of {} can't be read", s.id(), e);
-                            }
-                        })
-                .start();
     }
 }
--- /dev/null
+++ b/src/main/java/quartzspan/controlplane/OperatorCalls.java
@@ -0,0 +1,103 @@
+package quartzspan.controlplane;
+
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import mulleinfront.proxy.Framing;
+import mulleinfront.proxy.Frontend.Client;
+import quartzspan.common.FleetException;
+import quartzspan.registry.Registry;
+import quartzspan.registry.RegistryEntry;
+import quartzspan.replication.ControlState;
+import quartzspan.replication.ControlState.Change;
+import quartzspan.replication.Replica;
+
+/**
+ * The calls that operators make. Only the primary answers them, and only what a majority has confirmed: a refusal that
+ * depends on the state as much as an acknowledgement. Everybody else sends the caller to the primary, or on to another machine.
+ */
+final class OperatorCalls {
+    private final LongSupplier clockMs;
+    private final Replica replica;
+    private final Registry registry;
+    private final ReplicaTickets tickets;
+
+    OperatorCalls(LongSupplier clockMs, Replica replica, Registry registry, ReplicaTickets tickets) {
+        this.clockMs = clockMs;
+        this.replica = replica;
+        this.registry = registry;
+        this.tickets = tickets;
+    }
+
+    void replace(Client client, HttpRequest in, byte[] body, String rest) {
+        change(client, in, Change.Kind.REPLACE, base(in), body);
+    }
+
+    void update(Client client, HttpRequest in, byte[] body, String rest) {
+        change(client, in, Change.Kind.UPDATE, base(in), body);
+    }
+
+    void nameWeights(Client client, HttpRequest in, byte[] body, String rest) {
+        change(client, in, Change.Kind.WEIGHTS, 0, body);
+    }
+
+    private static long base(HttpRequest in) {
+        long base = Framing.number(in.headers().get("X-Base-Version"));
+        if (base < 0) {
+            throw new FleetException(
+                    FleetException.Code.CONFIG_INVALID,
+                    "X-Base-Version is missing",
+                    "name the version that the change builds on, 0 for the first");
+        }
+        return base;
+    }
+
+    private void change(Client client, HttpRequest in, Change.Kind kind, long base, byte[] body) {
+        if (!sentToPrimary(client, in)) {
+            long ticket = ticket(client, state -> CallTable.ok(client));
+            replica.change(clockMs.getAsLong(), ticket, new Change(kind, base, body));
+        }
+    }
+
+    void describe(Client client, HttpRequest in, byte[] body, String rest) {
+        if (!sentToPrimary(client, in)) {
+            long ticket = ticket(
+                    client,
+                    state -> CallTable.answer(
+                            client, HttpResponseStatus.OK, state.configuration().bytes()));
+            replica.confirm(clockMs.getAsLong(), ticket);
+        }
+    }
+
+    /** A ticket for the replica's answer, which goes to a client as long as it waits for one. */
+    private long ticket(Client client, Consumer<ControlState> granted) {
+        boolean[] left = {false};
+        client.opened(() -> left[0] = true);
+        return tickets.issue((why, state) -> {
+            if (left[0]) {
+                return;
+            }
+            if (why == null) {
+                granted.accept(state);
+            } else {
+                CallTable.refuse(client, why);
+            }
+        });
+    }
+
+    /** Sends the caller to the primary, if that is another; whether it did. */
+    private boolean sentToPrimary(Client client, HttpRequest in) {
+        if (replica.primary()) {
+            return false;
+        }
+        String leader = replica.leader(clockMs.getAsLong());
+        RegistryEntry there = leader == null ? null : registry.entry(RegistryEntry.Subject.CORE, leader);
+        if (there == null) {
+            throw new FleetException(
+                    FleetException.Code.NOT_PRIMARY, "nobody decides at present", "ask again in a moment");
+        }
+        CallTable.redirect(client, "http://" + there.text() + in.uri());
+        return true;
+    }
+}
--- /dev/null
+++ b/src/main/java/quartzspan/controlplane/ServerClient.java
@@ -0,0 +1,126 @@
+package quartzspan.controlplane;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
+import mulleinfront.Balancer.Outcome;
+import mulleinfront.proxy.Call;
+import mulleinfront.proxy.Upstream;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import quartzspan.registry.Server;
+
+/** The core machine's own calls to servers, over connections that are kept: a new one costs a server as much as a small request. */
+final class ServerClient {
+    private static final Logger LOG = LoggerFactory.getLogger(ServerClient.class);
+    private static final int TIMEOUT_US = 2_000_000;
+    private static final int CONNECTIONS_PER_SERVER = 4;
+    /** Status of a call that ended without an answer: it may have been carried out. */
+    static final int NO_ANSWER = 0;
+    /** Status of a call of which the server surely read nothing. */
+    static final int NOT_SENT = -1;
+
+    /** Told once how a call ended: a status of HTTP, {@link #NO_ANSWER} or {@link #NOT_SENT}. */
+    interface Answered {
+        void answered(int status, byte[] body);
+    }
+
+    private final Upstream upstream;
+    private final Map<String, Upstream.Host> hosts = new HashMap<>();
+
+    ServerClient(Upstream upstream) {
+        this.upstream = upstream;
+    }
+
+    /** Forgets the connections to servers that are gone. */
+    void tidy(Predicate<String> gone) {
+        hosts.entrySet().removeIf(e -> {
+            if (!gone.test(e.getKey())) {
+                return false;
+            }
+            upstream.hangUp(e.getValue());
+            return true;
+        });
+    }
+
+    /** Asks for something. */
+    void get(Server server, String path, Map<String, String> headers, Answered then) {
+        call(server, "GET", path, headers, "", () -> true, then);
+    }
+
+    /**
+     * Sends something that must go out only while it is permitted.
+     *
+     * @param permitted asked right before each write to the socket, when the connection stands
+     */
+    void post(Server server, String path, String json, BooleanSupplier permitted, Answered then) {
+        call(server, "POST", path, Map.of("Content-Type", "application/json"), json, permitted, then);
+    }
+
+    private void call(
+            Server server,
+            String method,
+            String path,
+            Map<String, String> more,
+            String body,
+            BooleanSupplier permitted,
+            Answered then) {
+        HttpHeaders headers = new DefaultHttpHeaders().set("Host", server.address());
+        if (!server.model().isEmpty()) {
+            headers.set("X-Expected-Instance", server.id());
+        }
+        more.forEach(headers::set);
+        WholeAnswer reading = new WholeAnswer();
+        Upstream.End end = (outcome, answer) -> {
+            try {
+                then.answered(
+                        answer != null ? reading.status : outcome.neverRan() ? NOT_SENT : NO_ANSWER,
+                        answer != null ? answer.body() : new byte[0]);
+            } catch (RuntimeException e) {
+                LOG.warn("an answer of {} can't be read", server.id(), e);
+            }
+        };
+        upstream.attempt(
+                        host(server),
+                        new Call(method, path, headers, body.getBytes(StandardCharsets.UTF_8)),
+                        TIMEOUT_US,
+                        permitted,
+                        reading,
+                        end)
+                .start();
+    }
+
+    private Upstream.Host host(Server server) {
+        Upstream.Host host = hosts.computeIfAbsent(server.id(), Upstream.Host::new);
+        int colon = server.address().lastIndexOf(':');
+        host.listed(
+                new InetSocketAddress(
+                        server.address().substring(0, colon),
+                        Integer.parseInt(server.address().substring(colon + 1))),
+                true,
+                CONNECTIONS_PER_SERVER);
+        return host;
+    }
+
+    /** The whole answer of a server, whatever it is. */
+    private static final class WholeAnswer implements Upstream.Reading {
+        private int status;
+
+        @Override
+        public Outcome outcome(HttpResponse head) {
+            status = head.status().code();
+            return status >= 200 && status < 300 ? Outcome.OK : Outcome.FAILED;
+        }
+
+        @Override
+        public boolean whole() {
+            return true;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/quartzspan/controlplane/StatusReport.java
@@ -0,0 +1,49 @@
+package quartzspan.controlplane;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import quartzspan.common.JsonLines;
+import quartzspan.registry.Registry;
+import quartzspan.registry.RegistryEntry;
+import quartzspan.replication.Replica;
+
+/** What a core machine says of itself to its operators. It vouches for nothing: {@code fresh_ms} tells how old it may be. */
+final class StatusReport {
+    private StatusReport() {}
+
+    static byte[] json(long now, String node, Replica replica, Registry registry) {
+        StringBuilder json = new StringBuilder("{\"node\":");
+        JsonLines.quote(json, node);
+        JsonLines.quote(json.append(",\"role\":"), replica.role());
+        JsonLines.quote(json.append(",\"leader\":"), String.valueOf(replica.leader(now)));
+        JsonLines.quote(json.append(",\"view\":"), replica.view().text());
+        JsonLines.quote(json.append(",\"duty\":"), registry.state().holder());
+        json.append(",\"promised\":")
+                .append(replica.promised())
+                .append(",\"copy_epoch\":")
+                .append(replica.copyEpoch())
+                .append(",\"copy_index\":")
+                .append(replica.copyIndex())
+                .append(",\"version\":")
+                .append(registry.state().configuration().version())
+                .append(",\"fresh_ms\":")
+                .append(now - registry.freshAt());
+        for (RegistryEntry.Subject subject : RegistryEntry.Subject.values()) {
+            entries(json, subject, registry);
+        }
+        return json.append('}').toString().getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static void entries(StringBuilder json, RegistryEntry.Subject subject, Registry registry) {
+        json.append(",\"").append(subject.name().toLowerCase(Locale.ROOT)).append("s\":[");
+        String comma = "";
+        for (RegistryEntry entry : registry.all(subject)) {
+            JsonLines.quote(json.append(comma).append("{\"key\":"), entry.key());
+            JsonLines.quote(json.append(",\"state\":"), entry.state().name());
+            JsonLines.quote(json.append(",\"text\":"), entry.text());
+            json.append('}');
+            comma = ",";
+        }
+        json.append(']');
+    }
+}
--- a/src/main/java/quartzspan/registry/Gossip.java
+++ b/src/main/java/quartzspan/registry/Gossip.java
@@ -39,11 +39,11 @@
     private final Out out;
     private final Map<Long, Asked> open = new LinkedHashMap<>();
     private final Map<String, Long> askers = new HashMap<>();
-    private final Map<Long, Runnable> receipts = new HashMap<>();
+    private final ReceiptTracker receipts = new ReceiptTracker();
     /** How often in a row a core machine left a question without a good answer. */
     private final Map<String, Integer> poor = new HashMap<>();
 
-    private long nonce;
+    private long lastNonce;
     private long coreAt;
     private long peerAt;
     private int turn;
@@ -95,6 +95,7 @@
             }
             return late;
         });
+        receipts.due(now, cores()).forEach(r -> sendForReceipt(now, r.nonce(), r.news(), r.to()));
         if (now >= coreAt) {
             coreAt = now + CORE_MS;
             List<String> cores = cores();
@@ -122,8 +123,8 @@
     }
 
     private void ask(long now, String to) {
-        open.put(++nonce, new Asked(to, now));
-        out.send(to, registry.ask(now, nonce));
+        open.put(++lastNonce, new Asked(to, now));
+        out.send(to, registry.ask(now, lastNonce));
     }
 
     /** Something came; the news in it have been passed on already. */
@@ -136,10 +137,7 @@
             }
             case ANSWER -> {
                 Asked asked = open.remove(in.nonce());
-                Runnable receipt = receipts.remove(in.nonce());
-                if (receipt != null) {
-                    receipt.run();
-                }
+                receipts.acknowledged(in.nonce(), from);
                 if (asked != null) {
                     askedAt = asked.at();
                     poor.put(from, in.ageMs() < 0 || in.ageMs() > STALE_MS ? poor.getOrDefault(from, 0) + 1 : 0);
@@ -148,29 +146,31 @@
                 }
                 sendLacking(now, from, in);
             }
-            default -> {
-                if (in.nonce() != 0) {
-                    out.send(
-                            from,
-                            new GossipMessage(
-                                    GossipMessage.Kind.ANSWER,
-                                    in.nonce(),
-                                    -1,
-                                    -1,
-                                    -1,
-                                    GossipMessage.UNCOMPARED,
-                                    List.of(),
-                                    GossipMessage.NOTHING));
-                }
-            }
+            default -> {}
         }
         Registry.News news = registry.take(now, in, askedAt);
+        if (in.kind() == GossipMessage.Kind.NEWS && in.nonce() != 0) {
+            out.send(from, receipt(in.nonce()));
+        }
         if (news.any()) {
             tell(now, news, from);
         }
         return news;
     }
 
+    /** Says that the news with this nonce are held here. */
+    private static GossipMessage receipt(long nonce) {
+        return new GossipMessage(
+                GossipMessage.Kind.ANSWER,
+                nonce,
+                -1,
+                -1,
+                -1,
+                GossipMessage.UNCOMPARED,
+                List.of(),
+                GossipMessage.NOTHING);
+    }
+
     /** What the one who answered does not have, or has older. */
     private void sendLacking(long now, String to, GossipMessage in) {
         if (in.buckets().length != Registry.BUCKETS) {
@@ -197,6 +197,11 @@
         return List.copyOf(askers.keySet());
     }
 
+    /** Passes one entry on, as {@link #tell(long, Registry.News, String)} does. */
+    public void tell(long now, RegistryEntry news) {
+        tell(now, new Registry.News(List.of(news), false), null);
+    }
+
     /** Passes news on: to the few this process knows, to who asked it of late, and between core machines to all. */
     public void tell(long now, Registry.News news, String not) {
         List<String> to = new ArrayList<>(askers.keySet());
@@ -209,27 +214,44 @@
         }
     }
 
-    /** Tells news, and says when the first other core machine has them: then they outlive this process. */
-    public void tellSurely(long now, Registry.News news, Runnable known) {
-        tell(now, news, null);
-        long receipt = ++nonce;
-        receipts.put(receipt, known);
-        GossipMessage t = registry.news(now, news.entries(), false);
-        for (String c : cores()) {
-            out.send(
-                    c,
-                    new GossipMessage(
-                            t.kind(),
-                            receipt,
-                            t.ageMs(),
-                            t.stateEpoch(),
-                            t.stateIndex(),
-                            t.buckets(),
-                            t.entries(),
-                            t.controlState()));
-        }
-        if (receipts.size() > 4096) {
-            receipts.clear();
+    /**
+     * Tells news, and says when enough other core machines hold them: then they outlive this process and others with it.
+     * Whoever has not answered is told again until then, or until {@link #cancelReceipt}.
+     *
+     * @param wanted how many others must hold them, at least one
+     * @return what to give to {@link #cancelReceipt}
+     */
+    public long tellSurely(long now, List<RegistryEntry> news, int wanted, Runnable known) {
+        List<String> cores = cores();
+        List<String> others = new ArrayList<>(askers.keySet());
+        if (!core) {
+            peers().stream().filter(p -> !others.contains(p)).forEach(others::add);
         }
+        others.removeAll(cores);
+        GossipMessage plain = registry.news(now, news, false);
+        others.forEach(to -> out.send(to, plain));
+        long nonce = ++lastNonce;
+        receipts.open(now, nonce, wanted, cores, news, known);
+        sendForReceipt(now, nonce, news, cores);
+        return nonce;
+    }
+
+    /** Nobody waits for these news to be held by others any more. */
+    public void cancelReceipt(long receipt) {
+        receipts.cancel(receipt);
+    }
+
+    private void sendForReceipt(long now, long nonce, List<RegistryEntry> news, List<String> to) {
+        GossipMessage plain = registry.news(now, news, false);
+        GossipMessage asking = new GossipMessage(
+                plain.kind(),
+                nonce,
+                plain.ageMs(),
+                plain.stateEpoch(),
+                plain.stateIndex(),
+                plain.buckets(),
+                plain.entries(),
+                plain.controlState());
+        to.forEach(c -> out.send(c, asking));
     }
 }
--- /dev/null
+++ b/src/test/java/quartzspan/controlplane/GracefulStopTest.java
@@ -0,0 +1,53 @@
+package quartzspan.controlplane;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+/** When a core machine that was told to end does so. */
+class GracefulStopTest {
+    private static final long GRACE_MS = 8_000;
+
+    private int leaves;
+    private boolean left;
+    private final GracefulStop stop = new GracefulStop(
+            new GracefulStop.Member() {
+                @Override
+                public void leave(long now) {
+                    leaves++;
+                }
+
+                @Override
+                public boolean left() {
+                    return left;
+                }
+            },
+            GRACE_MS);
+
+    @Test
+    void itNeverEndsUntold() {
+        left = true;
+        assertFalse(stop.over(1_000_000, true));
+        assertFalse(stop.begun());
+    }
+
+    @Test
+    void itHandsOverFirstAndAnswersWhoWaits() {
+        stop.begin(100);
+        stop.begin(150);
+        assertEquals(1, leaves, "once");
+        assertFalse(stop.over(200, true), "others need it still");
+        left = true;
+        assertFalse(stop.over(300, false), "a call waits for its answer");
+        assertTrue(stop.over(350, true));
+    }
+
+    @Test
+    void itEndsByItselfBeforeItIsKilled() {
+        stop.begin(0);
+        assertFalse(stop.over(GRACE_MS - GracefulStop.KILL_MARGIN_MS - 1, true));
+        assertTrue(stop.over(GRACE_MS - GracefulStop.KILL_MARGIN_MS, false));
+    }
+}
--- /dev/null
+++ b/src/test/java/quartzspan/controlplane/LeaveAcknowledgementsTest.java
@@ -0,0 +1,180 @@
+package quartzspan.controlplane;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import quartzspan.common.FleetException;
+import quartzspan.registry.Gossip;
+import quartzspan.registry.GossipMessage;
+import quartzspan.registry.Registry;
+import quartzspan.registry.RegistryEntry;
+
+/** A server that leaves is answered only when its word outlives as many machines as may be lost at once. */
+class LeaveAcknowledgementsTest {
+    private static final List<String> CORES = List.of("c1:1", "c2:1", "c3:1", "c4:1", "c5:1");
+    private static final List<String> PROXIES = List.of("p1:1", "p2:1");
+    private static final RegistryEntry READY = entry(2, RegistryEntry.State.READY);
+    private static final RegistryEntry DRAINING = entry(3, RegistryEntry.State.DRAINING);
+    private static final int TICK_MS = 50;
+
+    /** A message on its way. */
+    private record Flight(String from, String to, GossipMessage message) {}
+
+    private final Map<String, Registry> registries = new LinkedHashMap<>();
+    private final Map<String, Gossip> gossips = new LinkedHashMap<>();
+    private final ArrayDeque<Flight> flights = new ArrayDeque<>();
+    private final Set<String> down = new HashSet<>();
+    private final List<String> answers = new ArrayList<>();
+    private long now;
+
+    private LeaveAcknowledgements leaves;
+
+    private static RegistryEntry entry(long seq, RegistryEntry.State state) {
+        return new RegistryEntry(RegistryEntry.Subject.SERVER, "i", seq, state, "s\t10.0.0.9:80\tz\tm\t1\t0");
+    }
+
+    LeaveAcknowledgementsTest() {
+        CORES.forEach(name -> start(name, true));
+        PROXIES.forEach(name -> start(name, false));
+        registries.get("c1:1").take(now, READY);
+        run(2_000);
+        leaves = new LeaveAcknowledgements(gossips.get("c1:1"));
+    }
+
+    private void start(String name, boolean core) {
+        Registry registry = new Registry();
+        registries.put(name, registry);
+        gossips.put(
+                name,
+                new Gossip(name, core, CORES, registry, (to, message) -> flights.add(new Flight(name, to, message))));
+    }
+
+    private LeaveAcknowledgements.Caller caller() {
+        return new LeaveAcknowledgements.Caller() {
+            @Override
+            public void acknowledge() {
+                answers.add("acknowledged");
+            }
+
+            @Override
+            public void refuse(FleetException why) {
+                answers.add(why.code().name());
+            }
+        };
+    }
+
+    private LeaveAcknowledgements.Waiting drain(int holders) {
+        registries.get("c1:1").take(now, DRAINING);
+        return leaves.begin(now, DRAINING, holders, caller());
+    }
+
+    private void deliver() {
+        while (!flights.isEmpty()) {
+            Flight flight = flights.poll();
+            if (!down.contains(flight.from()) && !down.contains(flight.to())) {
+                gossips.get(flight.to()).onGossip(now, flight.from(), flight.message());
+            }
+        }
+    }
+
+    private void run(long ms) {
+        for (long end = now + ms; now < end; now += TICK_MS) {
+            gossips.forEach((name, gossip) -> {
+                if (!down.contains(name)) {
+                    gossip.onTick(now, null);
+                }
+            });
+            if (leaves != null) {
+                leaves.onTick(now);
+            }
+            deliver();
+        }
+    }
+
+    private RegistryEntry.State seenBy(String name) {
+        return registries.get(name).entry(RegistryEntry.Subject.SERVER, "i").state();
+    }
+
+    @Test
+    void oneOtherMachineIsNotEnoughWhereTwoMayBeLost() {
+        down.addAll(List.of("c3:1", "c4:1", "c5:1"));
+        drain(2);
+        run(LeaveAcknowledgements.BUDGET_MS - 100);
+        assertEquals(List.of(), answers);
+        run(200);
+        assertEquals(List.of("NOT_PRIMARY"), answers, "in time for the server to call another machine");
+        assertTrue(leaves.idle());
+        run(2_000);
+        assertEquals(1, answers.size(), "answered once");
+    }
+
+    @Test
+    void theWordOutlivesWhoAcknowledgedItAndAnother() {
+        // The proxies are cut off from those that are about to hear it, and hear nothing at first.
+        down.addAll(List.of("c4:1", "c5:1", "p1:1", "p2:1"));
+        drain(2);
+        run(TICK_MS);
+        assertEquals(List.of("acknowledged"), answers);
+        down.clear();
+        down.addAll(List.of("c1:1", "c2:1"));
+        run(2_000);
+        for (String name : List.of("c3:1", "c4:1", "c5:1", "p1:1", "p2:1")) {
+            assertEquals(RegistryEntry.State.DRAINING, seenBy(name), name);
+        }
+    }
+
+    @Test
+    void aMachineThatStartsAnewHearsItFromOneThatMissedIt() {
+        down.add("c5:1");
+        drain(2);
+        run(TICK_MS);
+        down.clear();
+        down.addAll(List.of("c1:1", "c2:1"));
+        start("c3:1", true);
+        start("p1:1", false);
+        run(2_000);
+        assertEquals(RegistryEntry.State.DRAINING, seenBy("c3:1"));
+        assertEquals(RegistryEntry.State.DRAINING, seenBy("c5:1"));
+        assertEquals(RegistryEntry.State.DRAINING, seenBy("p1:1"));
+    }
+
+    @Test
+    void aLostMessageIsSentAgainInTime() {
+        down.addAll(List.of("c2:1", "c3:1", "c4:1", "c5:1"));
+        drain(2);
+        run(300);
+        assertEquals(List.of(), answers);
+        down.clear();
+        run(300);
+        assertEquals(List.of("acknowledged"), answers);
+    }
+
+    @Test
+    void aCallerThatWentAwayIsNotAnsweredAndNothingIsKept() {
+        down.addAll(List.of("c2:1", "c3:1", "c4:1", "c5:1"));
+        LeaveAcknowledgements.Waiting waiting = drain(1);
+        assertTrue(waiting.open());
+        waiting.hangUp();
+        assertFalse(waiting.open());
+        assertTrue(leaves.idle());
+        down.clear();
+        run(2_000);
+        assertEquals(List.of(), answers);
+    }
+
+    @Test
+    void whereNothingMayBeLostNobodyIsWaitedFor() {
+        down.addAll(List.of("c2:1", "c3:1", "c4:1", "c5:1"));
+        assertFalse(drain(0).open());
+        assertEquals(List.of("acknowledged"), answers);
+    }
+}
--- /dev/null
+++ b/src/test/java/quartzspan/controlplane/RolloutDutyTest.java
@@ -0,0 +1,306 @@
+package quartzspan.controlplane;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import quartzspan.registry.RegistryEntry;
+import quartzspan.registry.Server;
+
+/** Who may order servers, from when on, and under which fencing token. */
+class RolloutDutyTest {
+    private static final long LEASE_MS = 3_000;
+    private static final int TICK_MS = 50;
+
+    /** The control state, as far as the duty goes. */
+    private String holder = "";
+
+    private long fence;
+    private final Map<String, Long> named = new HashMap<>(Map.of("m", 2L));
+    private long now = 100_000;
+    private final List<RolloutDuty.Order> orders = new ArrayList<>();
+    private final List<Long> orderedAt = new ArrayList<>();
+
+    /** One machine of the core. */
+    private final class Machine implements RolloutDuty.Out {
+        private final String name;
+        private RolloutDuty duty;
+        private long epoch = -1;
+        private long confirmedAt;
+        private boolean cut;
+        private boolean answersClaims = true;
+        private final Set<String> held = new HashSet<>();
+
+        Machine(String name) {
+            this.name = name;
+            restart();
+        }
+
+        void restart() {
+            epoch = -1;
+            duty = new RolloutDuty(name, LEASE_MS, this::reign, this);
+        }
+
+        private Optional<RolloutDuty.Reign> reign() {
+            return epoch < 0
+                    ? Optional.empty()
+                    : Optional.of(new RolloutDuty.Reign(epoch, confirmedAt, holder, fence, named));
+        }
+
+        void reigns(long inEpoch) {
+            epoch = inEpoch;
+            confirmedAt = now;
+        }
+
+        void run(long ms) {
+            for (long end = now + ms; now < end; now += TICK_MS) {
+                if (!cut && epoch >= 0) {
+                    confirmedAt = now;
+                }
+                duty.onTick(now, () -> List.of(server("i-1"), server("i-2"), server("i-3")));
+            }
+        }
+
+        @Override
+        public void claim(long inEpoch) {
+            holder = name;
+            fence++;
+            if (answersClaims) {
+                duty.claimed(inEpoch, true, fence);
+            }
+        }
+
+        @Override
+        public void announce(Server server, long version) {}
+
+        @Override
+        public void order(RolloutDuty.Order order) {
+            if (held.contains(order.server().id())) {
+                return;
+            }
+            if (duty.permits(now, order)) {
+                orders.add(order);
+                orderedAt.add(now);
+            }
+        }
+
+        @Override
+        public void report(Server server) {}
+    }
+
+    private static Server server(String id) {
+        return new Server(id, "s", "10.0.0.9:80", "z", "m", 1, 0, 1, RegistryEntry.State.READY);
+    }
+
+    private long last() {
+        return orderedAt.get(orderedAt.size() - 1);
+    }
+
+    @Test
+    void theFirstHolderWaitsForNobody() {
+        Machine a = new Machine("a");
+        a.reigns(1);
+        a.run(300);
+        assertFalse(orders.isEmpty());
+        assertEquals(1, orders.get(0).fencingToken());
+    }
+
+    @Test
+    void nothingIsOrderedWhereNothingIsNamed() {
+        named.clear();
+        Machine a = new Machine("a");
+        a.reigns(1);
+        a.run(5_000);
+        assertTrue(orders.isEmpty());
+        assertEquals("", holder, "not even claimed");
+    }
+
+    @Test
+    void aCutHolderIsSilentForTheLeaseBeforeTheNextOneBegins() {
+        Machine a = new Machine("a");
+        Machine b = new Machine("b");
+        a.reigns(1);
+        a.run(1_000);
+        a.cut = true;
+        // At the latest now another machine has a majority; the one that was cut off does not know and goes on.
+        b.reigns(2);
+        long began = now;
+        List<RolloutDuty.Order> old = new ArrayList<>(orders);
+        for (int tick = 0; tick < 200; tick++) {
+            long at = now;
+            a.run(TICK_MS);
+            now = at;
+            b.run(TICK_MS);
+        }
+        long lastOfA = orderedAt.get(lastIndex(1));
+        long firstOfB = orderedAt.get(firstIndex(2));
+        assertTrue(lastOfA <= began + RolloutDuty.CONFIRMED_MS, "stops by itself");
+        assertTrue(firstOfB - lastOfA >= LEASE_MS, "no turns within the lease");
+        assertTrue(firstOfB - began < LEASE_MS + 1_500, "and no longer than it must: weights have their time");
+        assertTrue(orders.size() > old.size());
+    }
+
+    private int lastIndex(long token) {
+        int last = -1;
+        for (int i = 0; i < orders.size(); i++) {
+            last = orders.get(i).fencingToken() == token ? i : last;
+        }
+        return last;
+    }
+
+    private int firstIndex(long token) {
+        for (int i = 0; i < orders.size(); i++) {
+            if (orders.get(i).fencingToken() == token) {
+                return i;
+            }
+        }
+        return -1;
+    }
+
+    @Test
+    void aFrozenHolderThatThawsSendsNothing() {
+        Machine a = new Machine("a");
+        a.reigns(1);
+        a.run(200);
+        int before = orders.size();
+        RolloutDuty.Order open = orders.get(0);
+        now += 20_000;
+        assertFalse(a.duty.permits(now, open), "asked right before the write, however long the connection took");
+        a.cut = true;
+        a.run(1_000);
+        assertEquals(before, orders.size());
+    }
+
+    @Test
+    void anAnnouncedOrderOfAnEarlierReignIsNotSent() {
+        Machine a = new Machine("a");
+        a.reigns(1);
+        a.run(200);
+        RolloutDuty.Order early = orders.get(0);
+        a.reigns(3);
+        a.run(200);
+        assertFalse(a.duty.permits(now, early), "its token is of an earlier claim");
+    }
+
+    @Test
+    void theSameHolderGoesOnAtOnceUnderAHigherToken() {
+        Machine a = new Machine("a");
+        a.reigns(1);
+        a.run(200);
+        a.reigns(2);
+        long again = now;
+        a.run(4_000);
+        int first = firstIndex(2);
+        assertTrue(first > 0);
+        assertTrue(orderedAt.get(first) - again < LEASE_MS, "nobody else held the duty in between");
+    }
+
+    @Test
+    void aClaimThatWasTakenUnansweredDoesNotHideTheHolderBefore() {
+        Machine a = new Machine("a");
+        Machine b = new Machine("b");
+        b.reigns(1);
+        b.run(1_000);
+        long lastOfB = last();
+        b.epoch = -1;
+        a.answersClaims = false;
+        a.reigns(2);
+        a.run(100);
+        a.epoch = -1;
+        a.run(100);
+        a.answersClaims = true;
+        a.reigns(3);
+        a.run(6_000);
+        assertEquals("a", holder);
+        int first = firstIndex(3);
+        assertTrue(first > 0, "it does order in the end");
+        assertTrue(orderedAt.get(first) - lastOfB >= LEASE_MS);
+    }
+
+    @Test
+    void aRestartedHolderWaitsAsAnyOther() {
+        Machine a = new Machine("a");
+        a.reigns(1);
+        a.run(200);
+        a.restart();
+        a.reigns(2);
+        long restarted = now;
+        a.run(6_000);
+        assertTrue(orderedAt.get(firstIndex(2)) - restarted >= LEASE_MS, "it can't know what came of its claims");
+    }
+
+    @Test
+    void tokensNeverFallNorAreSharedWhateverTheOrderOfReigns() {
+        List<Machine> machines = List.of(new Machine("a"), new Machine("b"), new Machine("c"));
+        Map<Long, String> owners = new HashMap<>();
+        for (int epoch = 1; epoch < 12; epoch++) {
+            Machine next = machines.get(epoch * 7 % 3);
+            machines.forEach(m -> m.epoch = -1);
+            if (epoch % 4 == 0) {
+                next.restart();
+            }
+            next.reigns(epoch);
+            int before = orders.size();
+            next.run(epoch % 3 == 0 ? 1_000 : 6_000);
+            orders.subList(before, orders.size())
+                    .forEach(o -> assertEquals(
+                            next.name, owners.computeIfAbsent(o.fencingToken(), t -> next.name), "one holder a token"));
+        }
+        for (int i = 1; i < orders.size(); i++) {
+            assertTrue(orders.get(i).fencingToken() >= orders.get(i - 1).fencingToken());
+        }
+        assertTrue(owners.size() > 3);
+    }
+
+    @Test
+    void weightsNamedLongAfterTheTakeOverAreOrderedAtOnce() {
+        named.clear();
+        holder = "other";
+        fence = 7;
+        Machine a = new Machine("a");
+        a.reigns(5);
+        a.run(10_000);
+        named.put("m", 2L);
+        long at = now;
+        a.run(1_000);
+        assertFalse(orders.isEmpty(), "all earlier holders have been silent for long");
+        assertTrue(orderedAt.get(0) - at < 500);
+    }
+
+    @Test
+    void anOrderThatWasNotSentIsGivenAnewSoonAndOneWithoutAnAnswerLater() {
+        Machine a = new Machine("a");
+        a.reigns(1);
+        a.run(200);
+        RolloutDuty.Order first = orders.get(0);
+        a.duty.answered(now, first, ServerClient.NOT_SENT);
+        int before = orders.size();
+        a.run(700);
+        assertTrue(orders.size() > before, "nothing went out");
+        RolloutDuty.Order second = orders.get(orders.size() - 1);
+        a.duty.answered(now, second, ServerClient.NO_ANSWER);
+        int then = orders.size();
+        a.run(1_000);
+        assertEquals(then, orders.size(), "it may have been taken");
+        a.run(2_000);
+        assertTrue(orders.size() > then);
+    }
+
+    @Test
+    void whoMeetsAHigherTokenClaimsAnew() {
+        Machine a = new Machine("a");
+        a.reigns(1);
+        a.run(200);
+        a.duty.answered(now, orders.get(0), 412);
+        a.run(4_000);
+        assertEquals(2, orders.get(orders.size() - 1).fencingToken());
+    }
+}
--- /dev/null
+++ b/src/test/java/quartzspan/registry/ReceiptTest.java
@@ -0,0 +1,117 @@
+package quartzspan.registry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** When news count as held by enough other core machines. */
+class ReceiptTest {
+    private static final List<String> CORES = List.of("c1:1", "c2:1", "c3:1", "c4:1", "c5:1");
+    private static final RegistryEntry DRAINING =
+            new RegistryEntry(RegistryEntry.Subject.SERVER, "i", 3, RegistryEntry.State.DRAINING, "");
+
+    private record Sent(String to, GossipMessage message) {}
+
+    private final List<Sent> sent = new ArrayList<>();
+    private final Gossip gossip =
+            new Gossip("c1:1", true, CORES, new Registry(), (to, message) -> sent.add(new Sent(to, message)));
+    private int acknowledged;
+
+    private void answers(String from, long receipt) {
+        gossip.onGossip(
+                10,
+                from,
+                new GossipMessage(
+                        GossipMessage.Kind.ANSWER,
+                        receipt,
+                        -1,
+                        -1,
+                        -1,
+                        GossipMessage.UNCOMPARED,
+                        List.of(),
+                        GossipMessage.NOTHING));
+    }
+
+    private long tell(int wanted) {
+        return gossip.tellSurely(0, List.of(DRAINING), wanted, () -> acknowledged++);
+    }
+
+    @Test
+    void aMachineThatAnswersTwiceCountsOnce() {
+        long receipt = tell(2);
+        answers("c2:1", receipt);
+        answers("c2:1", receipt);
+        assertEquals(0, acknowledged, "one machine is not two");
+        answers("c3:1", receipt);
+        assertEquals(1, acknowledged);
+        answers("c4:1", receipt);
+        assertEquals(1, acknowledged, "told once");
+    }
+
+    @Test
+    void onlyThoseThatWereAskedCount() {
+        long receipt = tell(1);
+        answers("p1:1", receipt);
+        answers("c2:1", receipt + 1);
+        assertEquals(0, acknowledged);
+    }
+
+    @Test
+    void whoDoesNotAnswerIsToldAgainAndNobodyElse() {
+        long receipt = tell(2);
+        answers("c2:1", receipt);
+        sent.clear();
+        gossip.onTick(200, "c2:1");
+        List<String> again = sent.stream()
+                .filter(s -> s.message().nonce() == receipt)
+                .map(Sent::to)
+                .sorted()
+                .toList();
+        assertEquals(List.of("c3:1", "c4:1", "c5:1"), again);
+    }
+
+    @Test
+    void aReceiptGivenUpIsNeitherSentAgainNorToldOf() {
+        long receipt = tell(1);
+        gossip.cancelReceipt(receipt);
+        sent.clear();
+        gossip.onTick(200, "c2:1");
+        answers("c2:1", receipt);
+        assertEquals(0, acknowledged);
+        assertTrue(sent.stream().noneMatch(s -> s.message().nonce() == receipt));
+    }
+
+    @Test
+    void openReceiptsAreBounded() {
+        ReceiptTracker receipts = new ReceiptTracker();
+        for (int nonce = 1; nonce <= 3 * ReceiptTracker.MOST_OPEN; nonce++) {
+            receipts.open(0, nonce, 1, CORES, List.of(DRAINING), () -> acknowledged++);
+        }
+        assertEquals(ReceiptTracker.MOST_OPEN, receipts.size());
+        receipts.acknowledged(1, "c2:1");
+        assertEquals(0, acknowledged, "the oldest was given up");
+        receipts.acknowledged(3L * ReceiptTracker.MOST_OPEN, "c2:1");
+        assertEquals(1, acknowledged);
+    }
+
+    @Test
+    void aReceiptIsGivenOnlyForWhatIsHeld() {
+        Registry registry = new Registry();
+        List<Sent> answers = new ArrayList<>();
+        Gossip other = new Gossip("c2:1", true, CORES, registry, (to, message) -> {
+            if (message.kind() == GossipMessage.Kind.ANSWER) {
+                assertEquals(DRAINING, registry.entry(RegistryEntry.Subject.SERVER, "i"), "held before the receipt");
+                answers.add(new Sent(to, message));
+            }
+        });
+        long receipt = tell(1);
+        sent.stream()
+                .filter(s -> s.to().equals("c2:1") && s.message().nonce() == receipt)
+                .forEach(s -> other.onGossip(5, "c1:1", s.message()));
+        assertEquals(1, answers.size());
+        assertEquals(receipt, answers.get(0).message().nonce());
+    }
+}
