--- a/src/main/java/quartzspan/controlplane/ControlPlane.java
+++ b/src/main/java/quartzspan/controlplane/ControlPlane.java
@@ -36,8 +36,10 @@
 import quartzspan.registry.Registry;
 import quartzspan.registry.RegistryEntry;
 import quartzspan.registry.Server;
+import quartzspan.replication.Ballot;
+import quartzspan.replication.Change;
+import quartzspan.replication.ChangeHistory;
 import quartzspan.replication.ControlState;
-import quartzspan.replication.ControlState.Change;
 import quartzspan.replication.Replica;
 import quartzspan.replication.ReplicaMessage;
 import quartzspan.replication.ReplicaStore;
@@ -60,7 +62,6 @@
     private static final int DIAL_US = 500_000;
     private static final int IDLE_US = 2_000_000;
     private static final int MOST_CONNECTIONS = 256;
-    private static final long UNKNOWN_FENCE = -2;
     private static final int UNUSED_LINK_MS = 10_000;
     /** A core machine not heard for so long counts as away. */
     private static final long CORE_ALIVE_MS = 1_500;
@@ -140,8 +141,8 @@
                     }
 
                     @Override
-                    public void committed(long epoch, long index, ControlState state) {
-                        inForce(epoch, index, state);
+                    public void committed(long index, ControlState state, ChangeHistory history) {
+                        inForce(index, state);
                     }
                 });
         this.leaves = new LeaveAcknowledgements(gossip);
@@ -259,11 +260,11 @@
             replica.onTick(now);
             if (!replica.role().equals(lastRole)) {
                 lastRole = replica.role();
-                if (!lastRole.equals("SOUNDING")) {
+                if (!lastRole.equals("CANDIDATE")) {
                     LOG.info(
-                            "{} in epoch {}, view {}",
+                            "{}, promised {}, view {}",
                             lastRole,
-                            replica.promised(),
+                            replica.promised().text(),
                             replica.view().text());
                 }
             }
@@ -338,9 +339,9 @@
         }
     }
 
-    private void inForce(long epoch, long index, ControlState state) {
+    private void inForce(long index, ControlState state) {
         long now = ms();
-        if (registry.take(epoch, index, state, state.bytes())) {
+        if (registry.take(0, index, state, state.bytes())) {
             gossip.tell(now, new Registry.News(List.of(), true), null);
         }
     }
@@ -370,19 +371,17 @@
         }
         ControlState state = replica.state();
         return Optional.of(new RolloutDuty.Reign(
-                replica.view().epoch(), replica.confirmedAt(), state.holder(), fence(state), state.weights()));
-    }
-
-    /** Until claims are counted in the control state, each epoch has one claim, and who claimed before is not known. */
-    private static long fence(ControlState state) {
-        return UNKNOWN_FENCE;
+                replica.view().ballot(), replica.confirmedAt(), state.holder(), state.fence(), state.weights()));
     }
 
     /** What the rollout does, in calls to servers and news to proxies. */
     private final class RolloutOrders implements RolloutDuty.Out {
         @Override
-        public void claim(long epoch) {
-            long ticket = tickets.issue((why, state) -> rollout.claimed(epoch, why == null, epoch));
+        public void claim(Ballot reign) {
+            long ticket = tickets.issue((why, state) -> {
+                boolean granted = why == null && state.holder().equals(self);
+                rollout.claimed(reign, granted, granted ? state.fence() : 0);
+            });
             replica.change(ms(), ticket, new Change(Change.Kind.DUTY, 0, self.getBytes(StandardCharsets.UTF_8)));
         }
 
@@ -425,15 +424,16 @@
     }
 
     /** This machine's part in the control state, when it ends as planned. */
-    private static final class ReplicaMember implements GracefulStop.Member {
+    private final class ReplicaMember implements GracefulStop.Member {
         @Override
         public void leave(long now) {
-            // Nothing is handed over yet.
+            LOG.info("told to end as {}", replica.role());
+            replica.leave(now);
         }
 
         @Override
-        public boolean left() {
-            return true;
+        public boolean left(long now) {
+            return replica.left(now);
         }
     }
 }
--- a/src/main/java/quartzspan/controlplane/GracefulStop.java
+++ b/src/main/java/quartzspan/controlplane/GracefulStop.java
@@ -14,7 +14,7 @@
         void leave(long now);
 
         /** Whether the others can do without this machine. */
-        boolean left();
+        boolean left(long now);
     }
 
     private final Member member;
@@ -47,6 +47,6 @@
      * @param callsAnswered whether no call waits for its answer
      */
     boolean over(long now, boolean callsAnswered) {
-        return begun && (member.left() && callsAnswered || now - begunAt >= graceMs - KILL_MARGIN_MS);
+        return begun && (member.left(now) && callsAnswered || now - begunAt >= graceMs - KILL_MARGIN_MS);
     }
 }
--- a/src/main/java/quartzspan/controlplane/OperatorCalls.java
+++ b/src/main/java/quartzspan/controlplane/OperatorCalls.java
@@ -9,8 +9,8 @@
 import quartzspan.common.FleetException;
 import quartzspan.registry.Registry;
 import quartzspan.registry.RegistryEntry;
+import quartzspan.replication.Change;
 import quartzspan.replication.ControlState;
-import quartzspan.replication.ControlState.Change;
 import quartzspan.replication.Replica;
 
 /**
--- a/src/main/java/quartzspan/controlplane/RolloutDuty.java
+++ b/src/main/java/quartzspan/controlplane/RolloutDuty.java
@@ -9,13 +9,14 @@
 import java.util.function.Supplier;
 import quartzspan.common.JsonLines;
 import quartzspan.registry.Server;
+import quartzspan.replication.Ballot;
 
 /**
  * The duty of bringing servers to the weights that were named, which one machine has at a time: the primary.
  *
  * <p>Servers need not check fencing tokens, so the holder before must have surely stopped when the next one begins. A holder
  * sends an order only within {@link #CONFIRMED_MS} of the sending of a heartbeat that a majority acknowledged, which is
- * asked right before the bytes go out. Whoever becomes primary was granted its epoch by a majority after that, so all
+ * asked right before the bytes go out. Whoever becomes primary was granted its ballot by a majority after that, so all
  * earlier holders are silent {@link #CONFIRMED_MS} after its reign began, and it waits for the lease from there on. The
  * fencing token is the fence of the claim in the control state: it is this claim's alone, and higher than all before it.
  *
@@ -35,13 +36,13 @@
     /**
      * This machine's place as primary.
      *
-     * @param epoch names the reign; each has one primary
+     * @param ballot names the reign; each has one primary
      * @param confirmedAt when the last heartbeat that a majority acknowledged was sent
      * @param holder who claimed the duty last; empty if nobody ever did
      * @param fence fence of that claim
      * @param weights versions of weights that were named, by model
      */
-    record Reign(long epoch, long confirmedAt, String holder, long fence, Map<String, Long> weights) {}
+    record Reign(Ballot ballot, long confirmedAt, String holder, long fence, Map<String, Long> weights) {}
 
     /** An order to one server. */
     record Order(Server server, String model, long version, long fencingToken) {}
@@ -49,7 +50,7 @@
     /** What the duty does. */
     interface Out {
         /** Claims the duty in the control state; {@link RolloutDuty#claimed} tells of it. */
-        void claim(long epoch);
+        void claim(Ballot reign);
 
         /** Tells proxies that a server is about to load weights. */
         void announce(Server server, long version);
@@ -71,7 +72,7 @@
     private final List<Announced> announced = new ArrayList<>();
     private final Map<String, Long> reportAt = new HashMap<>();
 
-    private long epoch = -1;
+    private Ballot ballot = Ballot.NONE;
     private long reignedSince;
     private boolean claiming;
     private boolean holding;
@@ -118,16 +119,16 @@
     }
 
     private void resign() {
-        epoch = -1;
+        ballot = Ballot.NONE;
         claiming = false;
         holding = false;
         announced.clear();
     }
 
     private void follow(long now, Reign reign) {
-        if (reign.epoch() != epoch) {
+        if (!reign.ballot().equals(ballot)) {
             resign();
-            epoch = reign.epoch();
+            ballot = reign.ballot();
             reignedSince = now;
         }
     }
@@ -139,12 +140,12 @@
         claiming = true;
         boolean noOtherSince = reign.holder().isEmpty() || reign.holder().equals(self) && reign.fence() == servedFence;
         beginAt = noOtherSince ? reignedSince : reignedSince + CONFIRMED_MS + DELIVERY_MS + leaseMs;
-        out.claim(reign.epoch());
+        out.claim(reign.ballot());
     }
 
-    /** What became of the claim made in an epoch. */
-    void claimed(long inEpoch, boolean granted, long claimFence) {
-        if (inEpoch != epoch || !claiming) {
+    /** What became of the claim made in a reign; {@code claimFence} is its fence if it was granted. */
+    void claimed(Ballot reign, boolean granted, long claimFence) {
+        if (!reign.equals(ballot) || !claiming) {
             return;
         }
         claiming = false;
@@ -153,7 +154,7 @@
     }
 
     private boolean free(long now, Reign reign) {
-        return holding && reign.epoch() == epoch && now >= beginAt && now - reign.confirmedAt() <= CONFIRMED_MS;
+        return holding && reign.ballot().equals(ballot) && now >= beginAt && now - reign.confirmedAt() <= CONFIRMED_MS;
     }
 
     /** Whether an order may go out at this very moment. */
--- a/src/main/java/quartzspan/controlplane/StatusReport.java
+++ b/src/main/java/quartzspan/controlplane/StatusReport.java
@@ -19,9 +19,9 @@
         JsonLines.quote(json.append(",\"view\":"), replica.view().text());
         JsonLines.quote(json.append(",\"duty\":"), registry.state().holder());
         json.append(",\"promised\":")
-                .append(replica.promised())
+                .append(replica.promised().number())
                 .append(",\"copy_epoch\":")
-                .append(replica.copyEpoch())
+                .append(replica.copyBallot().number())
                 .append(",\"copy_index\":")
                 .append(replica.copyIndex())
                 .append(",\"version\":")
--- a/src/test/java/quartzspan/controlplane/GracefulStopTest.java
+++ b/src/test/java/quartzspan/controlplane/GracefulStopTest.java
@@ -20,7 +20,7 @@
                 }
 
                 @Override
-                public boolean left() {
+                public boolean left(long now) {
                     return left;
                 }
             },
--- a/src/test/java/quartzspan/controlplane/RolloutDutyTest.java
+++ b/src/test/java/quartzspan/controlplane/RolloutDutyTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.Test;
 import quartzspan.registry.RegistryEntry;
 import quartzspan.registry.Server;
+import quartzspan.replication.Ballot;
 
 /** Who may order servers, from when on, and under which fencing token. */
 class RolloutDutyTest {
@@ -52,7 +53,7 @@
         private Optional<RolloutDuty.Reign> reign() {
             return epoch < 0
                     ? Optional.empty()
-                    : Optional.of(new RolloutDuty.Reign(epoch, confirmedAt, holder, fence, named));
+                    : Optional.of(new RolloutDuty.Reign(new Ballot(epoch, name, 0), confirmedAt, holder, fence, named));
         }
 
         void reigns(long inEpoch) {
@@ -70,11 +71,11 @@
         }
 
         @Override
-        public void claim(long inEpoch) {
+        public void claim(Ballot reign) {
             holder = name;
             fence++;
             if (answersClaims) {
-                duty.claimed(inEpoch, true, fence);
+                duty.claimed(reign, true, fence);
             }
         }
 
