Registry: draining ends only by gone, and entries are totally ordered

Cause, by reading: entries were ordered by number alone. While one core machine heard that a server drains (number n+1), the primary could count its weights twice (n+2), and the ready entry undid the draining one everywhere until the next heartbeat: proxies went on sending after the acknowledgement. A draining server that fell silent became lost, and a late ready heartbeat made it ready. Two entries of one number with different texts differed for ever, since neither held and digests left the text out.

--- a/src/main/java/quartzspan/registry/HeartbeatTracker.java
+++ b/src/main/java/quartzspan/registry/HeartbeatTracker.java
@@ -32,10 +32,11 @@
     /** A server's word; the news it makes, or null. */
     public RegistryEntry beat(long now, String id, long count, RegistryEntry.State state, Server said) {
         Life life = servers.get(id);
-        if (life != null && count < life.count()) {
+        boolean late = life != null && count < life.count();
+        if (late && state != RegistryEntry.State.DRAINING) {
             return null;
         }
-        servers.put(id, new Life(now, count));
+        servers.put(id, new Life(now, late ? life.count() : count));
         untold.put(id, new RegistryEntry(RegistryEntry.Subject.SERVER, id, count, state, ""));
         RegistryEntry old = registry.entry(RegistryEntry.Subject.SERVER, id);
         // What it was ordered to load it doesn't say; that holds until it has it.
@@ -57,6 +58,9 @@
     /** A server's last word; the news, or null if it was known. */
     public RegistryEntry gone(long now, String id) {
         RegistryEntry old = registry.entry(RegistryEntry.Subject.SERVER, id);
+        if (old != null && old.state() == RegistryEntry.State.GONE) {
+            return null;
+        }
         RegistryEntry next = new RegistryEntry(
                 RegistryEntry.Subject.SERVER,
                 id,
@@ -130,7 +134,10 @@
         for (RegistryEntry f : registry.all(RegistryEntry.Subject.SERVER)) {
             boolean there = f.state() == RegistryEntry.State.READY || f.state() == RegistryEntry.State.DRAINING;
             if (there && silent(now, servers, f.key(), (long) (heartbeatMs * MISSED))) {
-                news.add(new RegistryEntry(f.subject(), f.key(), f.seq() + 1, RegistryEntry.State.LOST, f.text()));
+                // One that was leaving has left: nothing may bring it back as ready.
+                RegistryEntry.State end =
+                        f.state() == RegistryEntry.State.DRAINING ? RegistryEntry.State.GONE : RegistryEntry.State.LOST;
+                news.add(new RegistryEntry(f.subject(), f.key(), f.seq() + 1, end, f.text()));
             }
         }
         for (RegistryEntry f : registry.all(RegistryEntry.Subject.PROXY)) {
--- a/src/main/java/quartzspan/registry/RegistryEntry.java
+++ b/src/main/java/quartzspan/registry/RegistryEntry.java
@@ -1,8 +1,8 @@
 package quartzspan.registry;
 
 /**
- * Something that all processes are to know. Of two about one key the one with the higher {@code seq} holds, and of equal ones
- * the one with the later state.
+ * Something that all processes are to know. Of two about one key the one with the more final state holds, then the one
+ * with the higher {@code seq}.
  *
  * @param text what is known of it; see {@link Server} for servers
  */
@@ -14,20 +14,33 @@
         PROXY
     }
 
-    /** {@code LOST} may come back with a higher {@code seq}; {@code GONE} never does. */
+    /**
+     * {@code LOST} may come back with a higher {@code seq}; {@code DRAINING} ends only by {@code GONE}, and {@code GONE} never:
+     * what a server said of its end holds against any later word of others about it, which may not have heard it.
+     */
     public enum State {
-        READY,
-        DRAINING,
-        LOST,
-        GONE
+        READY(0),
+        DRAINING(1),
+        LOST(0),
+        GONE(2);
+
+        private final int finality;
+
+        State(int finality) {
+            this.finality = finality;
+        }
     }
 
+    /** Whether this one holds where both are known: a total order, so that all processes end with the same. */
     boolean beats(RegistryEntry other) {
-        return other == null
-                || other.state != State.GONE
-                        && (state == State.GONE
-                                || seq > other.seq
-                                || seq == other.seq && state.compareTo(other.state) > 0);
+        if (other == null) {
+            return true;
+        }
+        int order = Integer.compare(state.finality, other.state.finality);
+        order = order != 0 ? order : Long.compare(seq, other.seq);
+        order = order != 0 ? order : state.compareTo(other.state);
+        order = order != 0 ? order : text.compareTo(other.text);
+        return order > 0;
     }
 
     long digest() {
@@ -37,6 +50,7 @@
         }
         h = h * 31 + seq;
         h = h * 31 + state.ordinal();
+        h = h * 31 + text.hashCode();
         h ^= h >>> 29;
         return h * 0xbf58476d1ce4e5b9L;
     }
