Core machine: a cut-off one sends servers on; answers to an earlier life count for nothing; one that ends confirms nothing

Cause, by reading: a core machine without touch to the others answered ready heartbeats with 200, so that for 20 s of a cut the servers stayed with it, and after 3.7 heartbeats the others declared them lost. Now it takes them in and answers 503 from 1.2 s on. Questions were numbered from 1 in each life: an answer that TcpTransport had queued for the process before could match a question of the one after it and make old state fresh. Numbers now begin at random, and only who was asked may answer. A machine that got SIGTERM gave receipts for the word of leaving servers and ended; it gives none any more. Tests: HeartbeatReceiverTest, ReceiptTest.whoIsAboutToEndConfirmsNothing, anAnswerToAnEarlierLifeMakesNothingFresh.

--- a/src/main/java/quartzspan/controlplane/ControlPlane.java
+++ b/src/main/java/quartzspan/controlplane/ControlPlane.java
@@ -111,7 +111,7 @@
         this.servers = new ServerClient(upstream);
         this.transport = new TcpTransport(loop, new Hello(true, self, text(control), settings.zone()), this::received);
         this.heartbeats = new HeartbeatTracker(registry, settings.heartbeatMs());
-        this.gossip = new Gossip(self, true, seeds, registry, transport::send);
+        this.gossip = new Gossip(self, true, seeds, registry, transport::send, Gossip.firstNonce(System.nanoTime()));
         this.frontend = new Frontend(this, loop);
         this.replica = new Replica(
                 self,
@@ -150,8 +150,8 @@
         this.promptIndex = new PromptIndexFollowing(this::ms, self, registry, gossip, transport, servers);
         this.ending =
                 new GracefulStop(new ReplicaMember(), (long) (settings.bounds().gracePeriodS() * 1000));
-        ServerCalls fromServers =
-                new ServerCalls(this::ms, registry, heartbeats, gossip, leaves, this::holdersOfLeaves);
+        ServerCalls fromServers = new ServerCalls(
+                this::ms, new HeartbeatReceiver(registry, heartbeats, gossip), leaves, this::holdersOfLeaves);
         OperatorCalls fromOperators = new OperatorCalls(this::ms, replica, registry, tickets);
         this.calls = new CallTable()
                 .on("POST", "/quartzspan/Instances.Heartbeat/", fromServers::heartbeat)
@@ -428,6 +428,7 @@
         @Override
         public void leave(long now) {
             LOG.info("told to end as {}", replica.role());
+            gossip.leave();
             replica.leave(now);
         }
 
--- /dev/null
+++ b/src/main/java/quartzspan/controlplane/HeartbeatReceiver.java
@@ -0,0 +1,91 @@
+package quartzspan.controlplane;
+
+import jakarta.json.JsonArray;
+import jakarta.json.JsonObject;
+import quartzspan.common.FleetException;
+import quartzspan.configuration.Configuration;
+import quartzspan.registry.Gossip;
+import quartzspan.registry.HeartbeatTracker;
+import quartzspan.registry.Registry;
+import quartzspan.registry.RegistryEntry;
+import quartzspan.registry.Server;
+
+/** Takes in what servers say of themselves. No clock, no I/O; times are milliseconds of a steady clock. */
+final class HeartbeatReceiver {
+    /**
+     * Out of touch with the rest of the core for longer than this, a machine takes heartbeats in but sends the server on: the
+     * others would count as lost a server that is heard here alone. Together with two heartbeats it has to stay below the
+     * silence after which they do.
+     */
+    static final long IN_TOUCH_MS = 1_200;
+
+    private final Registry registry;
+    private final HeartbeatTracker heartbeats;
+    private final Gossip gossip;
+
+    HeartbeatReceiver(Registry registry, HeartbeatTracker heartbeats, Gossip gossip) {
+        this.registry = registry;
+        this.heartbeats = heartbeats;
+        this.gossip = gossip;
+    }
+
+    /**
+     * A heartbeat.
+     *
+     * @return what has to be held by others before the heartbeat is acknowledged; null if nothing
+     * @throws FleetException if the server had better call another machine
+     */
+    RegistryEntry heartbeat(long now, String id, byte[] body) {
+        JsonObject json = Configuration.json(body);
+        boolean draining = json.getString("state", "ready").equals("draining");
+        RegistryEntry news = heartbeats.beat(
+                now,
+                id,
+                Configuration.whole(json, "call_count", 0),
+                draining ? RegistryEntry.State.DRAINING : RegistryEntry.State.READY,
+                server(id, json));
+        if (draining) {
+            return news != null ? news : registry.entry(RegistryEntry.Subject.SERVER, id);
+        }
+        if (news != null) {
+            gossip.tell(now, news);
+        }
+        if (now - registry.freshAt() > IN_TOUCH_MS) {
+            throw new FleetException(
+                    FleetException.Code.NOT_PRIMARY,
+                    "this machine is out of touch with the core",
+                    "call another machine of the core");
+        }
+        return null;
+    }
+
+    /** A server's last word; returns what has to be held by others before it is acknowledged. */
+    RegistryEntry deregistration(long now, String id) {
+        RegistryEntry news = heartbeats.gone(now, id);
+        return news != null ? news : registry.entry(RegistryEntry.Subject.SERVER, id);
+    }
+
+    /** What a server says of itself. */
+    private static Server server(String id, JsonObject json) {
+        String model = "";
+        long weights = 0;
+        if (json.get("models") instanceof JsonArray models && !models.isEmpty()) {
+            model = models.getJsonObject(0).getString("name", "");
+            weights = Configuration.whole(models.getJsonObject(0), "version", 0);
+        }
+        String text = Server.text(
+                json.getString("service", ""),
+                json.getString("address", ""),
+                json.getString("zone", ""),
+                model,
+                weights,
+                0);
+        Server server =
+                Server.of(new RegistryEntry(RegistryEntry.Subject.SERVER, id, 0, RegistryEntry.State.READY, text));
+        if (server == null) {
+            throw new FleetException(
+                    FleetException.Code.MESSAGE_INVALID, "a heartbeat can't be read", "send it as the page says");
+        }
+        return server;
+    }
+}
--- a/src/main/java/quartzspan/registry/Gossip.java
+++ b/src/main/java/quartzspan/registry/Gossip.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 
 /**
  * How what one process knows gets to the others, without clock or I/O: news go at once to a few, who pass on what was news to
@@ -47,14 +48,32 @@
     private long coreAt;
     private long peerAt;
     private int turn;
+    private boolean leaving;
 
-    /** @param seeds internal addresses of core machines to begin with */
+    /** As below, with questions numbered from 1 on: for a process that has no earlier life. */
     public Gossip(String self, boolean core, List<String> seeds, Registry registry, Out out) {
+        this(self, core, seeds, registry, out, 0);
+    }
+
+    /**
+     * Starts without knowledge.
+     *
+     * @param seeds internal addresses of core machines to begin with
+     * @param firstNonce from where on questions are numbered: an answer to a question of an earlier life of this process
+     *     must match none of this life, or old state would count as fresh
+     */
+    public Gossip(String self, boolean core, List<String> seeds, Registry registry, Out out, long firstNonce) {
         this.self = self;
         this.core = core;
         this.seeds = seeds;
         this.registry = registry;
         this.out = out;
+        this.lastNonce = firstNonce;
+    }
+
+    /** A first nonce that no other life is likely to be near, drawn by a seed. */
+    public static long firstNonce(long seed) {
+        return new SplittableRandom(seed).nextLong() >>> 2;
     }
 
     /** Other core machines to begin with. */
@@ -136,7 +155,10 @@
                 out.send(from, registry.answer(now, in));
             }
             case ANSWER -> {
-                Asked asked = open.remove(in.nonce());
+                Asked asked = open.containsKey(in.nonce())
+                                && open.get(in.nonce()).to().equals(from)
+                        ? open.remove(in.nonce())
+                        : null;
                 receipts.acknowledged(in.nonce(), from);
                 if (asked != null) {
                     askedAt = asked.at();
@@ -149,7 +171,7 @@
             default -> {}
         }
         Registry.News news = registry.take(now, in, askedAt);
-        if (in.kind() == GossipMessage.Kind.NEWS && in.nonce() != 0) {
+        if (in.kind() == GossipMessage.Kind.NEWS && in.nonce() != 0 && !leaving) {
             out.send(from, receipt(in.nonce()));
         }
         if (news.any()) {
@@ -158,6 +180,11 @@
         return news;
     }
 
+    /** This process is about to end: it confirms no more that it holds anything. */
+    public void leave() {
+        leaving = true;
+    }
+
     /** Says that the news with this nonce are held here. */
     private static GossipMessage receipt(long nonce) {
         return new GossipMessage(
--- /dev/null
+++ b/src/test/java/quartzspan/controlplane/HeartbeatReceiverTest.java
@@ -0,0 +1,67 @@
+package quartzspan.controlplane;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import quartzspan.common.FleetException;
+import quartzspan.registry.Gossip;
+import quartzspan.registry.HeartbeatTracker;
+import quartzspan.registry.Registry;
+import quartzspan.registry.RegistryEntry;
+
+/** What a core machine takes in of servers, and when it sends them on to another. */
+class HeartbeatReceiverTest {
+    private final Registry registry = new Registry();
+    private final HeartbeatReceiver receiver = new HeartbeatReceiver(
+            registry,
+            new HeartbeatTracker(registry, 1_200),
+            new Gossip("c1:1", true, List.of("c1:1", "c2:1"), registry, (to, message) -> {}));
+
+    private static byte[] body(long count, String state) {
+        return ("{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"state\":\"" + state
+                        + "\",\"models\":[{\"name\":\"m\",\"version\":1}],\"call_count\":" + count + "}")
+                .getBytes(StandardCharsets.UTF_8);
+    }
+
+    private RegistryEntry.State state() {
+        return registry.entry(RegistryEntry.Subject.SERVER, "i").state();
+    }
+
+    @Test
+    void aMachineThatIsCutOffSendsServersOnButKeepsWhatTheySaid() {
+        registry.fresh(10_000);
+        assertNull(receiver.heartbeat(10_000 + HeartbeatReceiver.IN_TOUCH_MS, "i", body(1, "ready")));
+        long cut = 10_001 + HeartbeatReceiver.IN_TOUCH_MS;
+        FleetException why = assertThrows(FleetException.class, () -> receiver.heartbeat(cut, "i", body(2, "ready")));
+        assertEquals(503, why.code().status());
+        assertThrows(FleetException.class, () -> receiver.heartbeat(cut, "j", body(1, "ready")));
+        assertNotNull(registry.entry(RegistryEntry.Subject.SERVER, "j"), "known here all the same");
+        registry.fresh(cut);
+        assertNull(receiver.heartbeat(cut, "i", body(3, "ready")));
+    }
+
+    @Test
+    void oneThatLeavesIsTakenInAndMustBeHeldByOthers() {
+        assertEquals(
+                RegistryEntry.State.DRAINING,
+                receiver.heartbeat(99_000, "i", body(1, "draining")).state());
+        assertNotNull(receiver.heartbeat(99_000, "i", body(1, "draining")), "said again, to be held again");
+        assertThrows(FleetException.class, () -> receiver.heartbeat(99_000, "i", body(5, "ready")));
+        assertEquals(RegistryEntry.State.DRAINING, state());
+        assertEquals(
+                RegistryEntry.State.GONE, receiver.deregistration(99_000, "i").state());
+        assertNotNull(receiver.deregistration(99_000, "i"));
+        assertNotNull(receiver.heartbeat(99_000, "i", body(9, "draining")));
+        assertEquals(RegistryEntry.State.GONE, state());
+    }
+
+    @Test
+    void whatCantBeReadIsRefused() {
+        assertThrows(FleetException.class, () -> receiver.heartbeat(0, "i", new byte[] {'{'}));
+    }
+}
--- a/src/test/java/quartzspan/registry/ReceiptTest.java
+++ b/src/test/java/quartzspan/registry/ReceiptTest.java
@@ -114,4 +114,42 @@
         assertEquals(1, answers.size());
         assertEquals(receipt, answers.get(0).message().nonce());
     }
+
+    @Test
+    void whoIsAboutToEndConfirmsNothing() {
+        List<Sent> answers = new ArrayList<>();
+        Gossip other =
+                new Gossip("c2:1", true, CORES, new Registry(), (to, message) -> answers.add(new Sent(to, message)));
+        other.leave();
+        long receipt = tell(1);
+        sent.stream()
+                .filter(s -> s.to().equals("c2:1") && s.message().nonce() == receipt)
+                .forEach(s -> other.onGossip(5, "c1:1", s.message()));
+        assertTrue(answers.stream().noneMatch(s -> s.message().kind() == GossipMessage.Kind.ANSWER));
+    }
+
+    @Test
+    void anAnswerToAnEarlierLifeMakesNothingFresh() {
+        List<GossipMessage> asked = new ArrayList<>();
+        Gossip before = new Gossip("c1:1", true, CORES, new Registry(), (to, m) -> asked.add(m), Gossip.firstNonce(1));
+        before.onTick(0, "c2:1");
+        Registry registry = new Registry();
+        Gossip after = new Gossip("c1:1", true, CORES, registry, (to, m) -> {}, Gossip.firstNonce(2));
+        after.onTick(0, "c2:1");
+        for (GossipMessage question : asked) {
+            after.onGossip(
+                    10,
+                    "c2:1",
+                    new GossipMessage(
+                            GossipMessage.Kind.ANSWER,
+                            question.nonce(),
+                            0,
+                            -1,
+                            -1,
+                            GossipMessage.UNCOMPARED,
+                            List.of(),
+                            GossipMessage.NOTHING));
+        }
+        assertTrue(registry.freshAt() < -1_000_000);
+    }
 }
