--- a/src/main/java/quartzspan/controlplane/ControlPlane.java
+++ b/src/main/java/quartzspan/controlplane/ControlPlane.java
@@ -11,11 +11,9 @@
 import jakarta.json.JsonObject;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
@@ -272,7 +270,7 @@
                 registry.fresh(replica.confirmedAt());
             }
             gossip.onTick(now, replica.primary() ? null : replica.leader(now));
-            List<RegistryEntry> heard = heartbeats.untold();
+            List<RegistryEntry> heard = heartbeats.untold(now);
             if (!heard.isEmpty()) {
                 GossipMessage t =
                         new GossipMessage(GossipMessage.Kind.HEARD, 0, -1, -1, -1, new long[0], heard, new byte[0]);
@@ -291,7 +289,7 @@
             transport.tidy(UNUSED_LINK_MS);
             servers.tidy(this::gone);
             leaves.onTick(now);
-            rollout.onTick(now, this::knownServers);
+            rollout.onTick(now, registry::servers);
             promptIndex.onTick(now, coresHeard(now));
             if (ending.over(now, leaves.idle() && tickets.idle())) {
                 ended.countDown();
@@ -306,13 +304,6 @@
         return entry != null && entry.state() == RegistryEntry.State.GONE;
     }
 
-    private List<Server> knownServers() {
-        List<Server> known = new ArrayList<>();
-        registry.all(RegistryEntry.Subject.SERVER).forEach(entry -> known.add(Server.of(entry)));
-        known.removeIf(Objects::isNull);
-        return known;
-    }
-
     private List<String> coresHeard(long now) {
         coreHeard.values().removeIf(at -> now - at > CORE_ALIVE_MS);
         return List.copyOf(coreHeard.keySet());
--- a/src/main/java/quartzspan/controlplane/PromptIndexFollowing.java
+++ b/src/main/java/quartzspan/controlplane/PromptIndexFollowing.java
@@ -87,10 +87,9 @@
     /** The servers with a model, and the stores. */
     private Map<String, Server> sources() {
         Map<String, Server> all = new HashMap<>();
-        for (RegistryEntry entry : registry.all(RegistryEntry.Subject.SERVER)) {
-            Server server = Server.of(entry);
-            boolean there = entry.state() != RegistryEntry.State.GONE && entry.state() != RegistryEntry.State.LOST;
-            if (server != null && !server.model().isEmpty() && there) {
+        for (Server server : registry.servers()) {
+            boolean there = server.state() != RegistryEntry.State.GONE && server.state() != RegistryEntry.State.LOST;
+            if (there && !server.model().isEmpty()) {
                 all.put(server.id(), server);
             }
         }
