Call table keyed by a string: no record methods built by the JVM at a core machine's start

Seen in the class-load log of a core machine's start: the first hash of the private record Key bootstraps ObjectMethods and defines 14 hidden method-handle classes (none can be archived) before the machine listens.

--- a/src/main/java/quartzspan/controlplane/CallTable.java
+++ b/src/main/java/quartzspan/controlplane/CallTable.java
@@ -19,21 +19,24 @@
         void handle(Client client, HttpRequest in, byte[] body, String rest);
     }
 
-    private record Key(String method, String path) {}
-
-    private final Map<Key, Handler> calls = new LinkedHashMap<>();
+    /** By method and path: a string, for a record's hash and equality are built by the JVM at their first use, during a start. */
+    private final Map<String, Handler> calls = new LinkedHashMap<>();
 
     /** Declares a call; a path that ends with a slash takes a name after it. */
     CallTable on(String method, String path, Handler handler) {
-        calls.put(new Key(method, path), handler);
+        calls.put(key(method, path), handler);
         return this;
     }
 
+    private static String key(String method, String path) {
+        return method + ' ' + path;
+    }
+
     void take(Client client, HttpRequest in, byte[] body) {
         String path = in.uri().split("\\?", 2)[0];
         int slash = path.lastIndexOf('/');
-        Handler whole = calls.get(new Key(in.method().name(), path));
-        Handler named = calls.get(new Key(in.method().name(), path.substring(0, slash + 1)));
+        Handler whole = calls.get(key(in.method().name(), path));
+        Handler named = calls.get(key(in.method().name(), path.substring(0, slash + 1)));
         try {
             if (whole != null) {
                 whole.handle(client, in, body, "");
