--- a/src/main/java/quartzspan/controlplane/ControlPlane.java
+++ b/src/main/java/quartzspan/controlplane/ControlPlane.java
@@ -144,7 +144,8 @@
                     }
                 });
         this.leaves = new LeaveAcknowledgements(gossip);
-        this.rollout = new RolloutDuty(self, settings.bounds().leaseMs(), this::reign, new RolloutOrders());
+        Rollout schedule = new Rollout(settings.bounds().versionApplyMs());
+        this.rollout = new RolloutDuty(self, settings.bounds().leaseMs(), schedule, this::reign, new RolloutOrders());
         this.promptIndex = new PromptIndexFollowing(this::ms, self, registry, gossip, transport, servers);
         this.ending =
                 new GracefulStop(new ReplicaMember(), (long) (settings.bounds().gracePeriodS() * 1000));
--- a/src/test/java/quartzspan/controlplane/RolloutDutyTest.java
+++ b/src/test/java/quartzspan/controlplane/RolloutDutyTest.java
@@ -19,6 +19,7 @@
 /** Who may order servers, from when on, and under which fencing token. */
 class RolloutDutyTest {
     private static final long LEASE_MS = 3_000;
+    private static final long APPLY_MS = 10_000;
     private static final int TICK_MS = 50;
 
     /** The control state, as far as the duty goes. */
@@ -47,7 +48,7 @@
 
         void restart() {
             epoch = -1;
-            duty = new RolloutDuty(name, LEASE_MS, this::reign, this);
+            duty = new RolloutDuty(name, LEASE_MS, new Rollout(APPLY_MS), this::reign, this);
         }
 
         private Optional<RolloutDuty.Reign> reign() {
