Replication: whoever learns that it is no voter any more stands no more

Test: ReplicaGuardsTest.whoLearnsThatItIsNoVoterAnyMoreStandsNoMore, which fails without the mend. Standbys ask the primary of the newest view too.

--- a/src/main/java/quartzspan/replication/Candidacy.java
+++ b/src/main/java/quartzspan/replication/Candidacy.java
@@ -189,7 +189,9 @@
         voter.learn(reply.view());
         latest = voter.view();
         replies.put(from, reply);
-        if (reply.promised().isAbove(voter.promised())) {
+        if (!mayLead()) {
+            listener.givenUp();
+        } else if (reply.promised().isAbove(voter.promised())) {
             voter.promise(reply.promised());
             startWithPreVote();
         } else {
@@ -197,6 +199,11 @@
         }
     }
 
+    /** Whether the newest view that is known has this replica among its voters; else it has been dropped. */
+    private boolean mayLead() {
+        return latest.voters().contains(context.self());
+    }
+
     private void countPreVotes() {
         if (step == Step.PRE_VOTE && latest.isQuorum(granting())) {
             startWithVote();
@@ -289,6 +296,11 @@
             wantedVoters = null;
         }
         latest = newest;
+        if (!mayLead()) {
+            voter.learn(latest);
+            listener.givenUp();
+            return;
+        }
         if (!latest.isQuorum(granting)) {
             return;
         }
--- a/src/main/java/quartzspan/replication/Replica.java
+++ b/src/main/java/quartzspan/replication/Replica.java
@@ -296,8 +296,10 @@
 
     private Set<String> others() {
         Set<String> all = new LinkedHashSet<>(view().electorate());
+        all.add(view().primary());
         all.addAll(seeds);
         all.remove(context.self());
+        all.remove("");
         return all;
     }
 
--- a/src/test/java/quartzspan/replication/ReplicaGuardsTest.java
+++ b/src/test/java/quartzspan/replication/ReplicaGuardsTest.java
@@ -338,6 +338,27 @@
         assertEquals(List.of(), replica.view().previousVoters(), "in force: the old voters are needed no more");
     }
 
+    /** It was away while the others dropped it: their votes would make a primary of one that nobody counts as a voter. */
+    @Test
+    void whoLearnsThatItIsNoVoterAnyMoreStandsNoMore() {
+        start(A, true);
+        tickUntil(Kind.PRE_VOTE);
+        Ballot newer = ballot(3, B);
+        View without = new View(newer, B, List.of(B, C), List.of(B, C, "10.0.0.4:7"), List.of());
+        Ballot preVote = last(Kind.PRE_VOTE).ballot();
+        replica.onMessage(
+                now,
+                B,
+                ReplicaMessage.of(Kind.PRE_VOTE_REPLY, preVote).withOk(true).withView(without));
+        replica.onMessage(
+                now,
+                C,
+                ReplicaMessage.of(Kind.PRE_VOTE_REPLY, preVote).withOk(true).withView(without));
+        sync();
+        assertEquals(null, last(Kind.VOTE));
+        assertEquals("STANDBY", replica.role());
+    }
+
     /** A vote that was given before its disk was lost does not count beside one that knows of the loss. */
     @Test
     void aVoteFromBeforeTheLossOfItsDiskIsVoid() {
