--- a/src/main/java/quartzspan/configuration/Configuration.java
+++ b/src/main/java/quartzspan/configuration/Configuration.java
@@ -1,6 +1,7 @@
 package quartzspan.configuration;
 
 import jakarta.json.JsonArray;
+import jakarta.json.JsonArrayBuilder;
 import jakarta.json.JsonException;
 import jakarta.json.JsonNumber;
 import jakarta.json.JsonObject;
@@ -11,13 +12,17 @@
 import jakarta.json.JsonValue;
 import jakarta.json.spi.JsonProvider;
 import java.io.ByteArrayInputStream;
+import java.lang.ref.SoftReference;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
 import quartzspan.common.FleetException;
 
 /** A whole configuration of the operators, read and checked. The document itself is kept as it was sent. */
@@ -87,13 +92,28 @@
 
     private final JsonObject document;
     private final long version;
-    private final Map<String, List<Route>> byHost = new HashMap<>();
+    /** Routes by host and then prefix. */
+    private final Map<String, Map<String, Route>> byHost = new HashMap<>();
+
     private final List<Route> routes = new ArrayList<>();
+    /** The items of the document with what was read of them, by name; an update reads only what it brings. */
+    private final Map<String, Read<Route>> readRoutes = new LinkedHashMap<>();
+
+    private final Map<String, Read<Tenant>> readTenants = new LinkedHashMap<>();
+    private SoftReference<byte[]> text = new SoftReference<>(null);
     private final Map<String, Service> services = new LinkedHashMap<>();
     private final Map<String, Tenant> byKey = new HashMap<>();
     private final Limits limits;
 
+    /** An item of the document and what it says. */
+    private record Read<T>(JsonObject item, T value) {}
+
     private Configuration(JsonObject document) {
+        this(document, null);
+    }
+
+    /** @param before a configuration whose items may be in this document as well; or null */
+    private Configuration(JsonObject document, Configuration before) {
         this.document = document;
         this.version = whole(document, "version", -1);
         if (version < 0) {
@@ -105,36 +125,11 @@
                 throw invalid("service " + service.name() + " is there twice", "keep one of them");
             }
         }
-        Map<String, Route> names = new HashMap<>();
-        for (JsonObject r : objects(document, "routes")) {
-            Route route = route(r);
-            if (names.put(route.name(), route) != null) {
-                throw invalid("route " + route.name() + " is there twice", "keep one of them");
-            }
-            List<Route> same = byHost.computeIfAbsent(route.host(), h -> new ArrayList<>());
-            for (Route other : same) {
-                if (other.prefix().equals(route.prefix())) {
-                    throw invalid(
-                            "routes " + other.name() + " and " + route.name() + " share host and prefix",
-                            "give one of them another path_prefix");
-                }
-            }
-            same.add(route);
-            routes.add(route);
-        }
-        byHost.values()
-                .forEach(list ->
-                        list.sort((a, b) -> b.prefix().length() - a.prefix().length()));
-        for (JsonObject t : objects(document, "tenants")) {
-            Tenant tenant = tenant(t);
-            for (String key : tenant.keys()) {
-                Tenant other = byKey.put(key, tenant);
-                if (other != null && !other.name().equals(tenant.name())) {
-                    throw invalid(
-                            "tenants " + other.name() + " and " + tenant.name() + " share a key",
-                            "give each tenant keys of its own");
-                }
-            }
+        for (JsonObject item : objects(document, "routes")) {
+            add(read(item, "routes", before == null ? null : before.readRoutes, Configuration::route));
+        }
+        for (JsonObject item : objects(document, "tenants")) {
+            addTenant(read(item, "tenants", before == null ? null : before.readTenants, Configuration::tenant));
         }
         JsonObject l =
                 document.containsKey("limits") ? object(document.get("limits"), "limits") : JsonValue.EMPTY_JSON_OBJECT;
@@ -154,6 +149,40 @@
         }
     }
 
+    /** What an item says: taken over if the very same item was read before. */
+    private static <T> Read<T> read(
+            JsonObject item, String kind, Map<String, Read<T>> before, Function<JsonObject, T> reader) {
+        Read<T> known = before == null ? null : before.get(name(item, kind));
+        return known != null && known.item() == item ? known : new Read<>(item, reader.apply(item));
+    }
+
+    private void add(Read<Route> read) {
+        Route route = read.value();
+        if (readRoutes.put(route.name(), read) != null) {
+            throw invalid("route " + route.name() + " is there twice", "keep one of them");
+        }
+        Route other = byHost.computeIfAbsent(route.host(), h -> new HashMap<>()).put(route.prefix(), route);
+        if (other != null) {
+            throw invalid(
+                    "routes " + other.name() + " and " + route.name() + " share host and prefix",
+                    "give one of them another path_prefix");
+        }
+        routes.add(route);
+    }
+
+    private void addTenant(Read<Tenant> read) {
+        Tenant tenant = read.value();
+        readTenants.put(tenant.name(), read);
+        for (String key : tenant.keys()) {
+            Tenant other = byKey.put(key, tenant);
+            if (other != null && !other.name().equals(tenant.name())) {
+                throw invalid(
+                        "tenants " + other.name() + " and " + tenant.name() + " share a key",
+                        "give each tenant keys of its own");
+            }
+        }
+    }
+
     // ---- reading -------------------------------------------------------------------------------------
 
     /** Reads and checks a whole configuration. */
@@ -184,8 +213,7 @@
             if (!upsert.containsKey(kind) && !remove.containsKey(kind)) {
                 continue;
             }
-            Map<String, JsonObject> items = new LinkedHashMap<>();
-            objects(document, kind).forEach(o -> items.put(name(o, kind), o));
+            Map<String, JsonObject> items = named(document, kind);
             for (JsonValue gone : array(remove, kind)) {
                 if (!(gone instanceof JsonString s)) {
                     throw invalid("remove." + kind + " holds what is no name", "list names there");
@@ -204,7 +232,68 @@
             next.add("limits", patch.get("limits"));
         }
         next.add("version", whole(patch, "version", -1));
-        return new Configuration(next.build());
+        return new Configuration(next.build(), this);
+    }
+
+    /** The update that leads from an older configuration to this one; null if no update does. */
+    public JsonObject patchFrom(Configuration older) {
+        if (!document.keySet().containsAll(older.document.keySet())) {
+            return null;
+        }
+        JsonObjectBuilder upsert = JSON.createObjectBuilder();
+        JsonObjectBuilder remove = JSON.createObjectBuilder();
+        for (Map.Entry<String, JsonValue> part : document.entrySet()) {
+            JsonValue before = older.document.get(part.getKey());
+            if (part.getKey().equals("version") || part.getValue().equals(before)) {
+                continue;
+            }
+            if (!NAMED.contains(part.getKey())) {
+                upsert.add(part.getKey(), part.getValue());
+            } else if (!itemsPatch(part.getKey(), older.document, upsert, remove)) {
+                return null;
+            }
+        }
+        return JSON.createObjectBuilder()
+                .add("version", version)
+                .add("upsert", upsert)
+                .add("remove", remove)
+                .build();
+    }
+
+    /** Adds what an update of named items holds; false if it would leave them in another order. */
+    private boolean itemsPatch(String kind, JsonObject older, JsonObjectBuilder upsert, JsonObjectBuilder remove) {
+        Map<String, JsonObject> before = named(older, kind);
+        Map<String, JsonObject> after = named(document, kind);
+        if (after.size() != array(document, kind).size()) {
+            return false;
+        }
+        JsonArrayBuilder changed = JSON.createArrayBuilder();
+        JsonArrayBuilder gone = JSON.createArrayBuilder();
+        Set<String> order = new LinkedHashSet<>(before.keySet());
+        for (String name : before.keySet()) {
+            if (!after.containsKey(name)) {
+                gone.add(name);
+                order.remove(name);
+            }
+        }
+        after.forEach((name, item) -> {
+            if (!item.equals(before.get(name))) {
+                changed.add(item);
+            }
+            order.add(name);
+        });
+        if (!List.copyOf(order).equals(List.copyOf(after.keySet()))) {
+            return false;
+        }
+        upsert.add(kind, changed);
+        remove.add(kind, gone);
+        return true;
+    }
+
+    private static Map<String, JsonObject> named(JsonObject in, String kind) {
+        Map<String, JsonObject> items = new LinkedHashMap<>();
+        objects(in, kind).forEach(item -> items.put(name(item, kind), item));
+        return items;
     }
 
     private static Route route(JsonObject r) {
@@ -364,17 +453,30 @@
 
     /** The document, as text. */
     public byte[] bytes() {
-        return document.toString().getBytes(StandardCharsets.UTF_8);
+        byte[] bytes = text.get();
+        if (bytes == null) {
+            bytes = text(document);
+            text = new SoftReference<>(bytes);
+        }
+        return bytes;
+    }
+
+    /** A JSON value as text. */
+    public static byte[] text(JsonValue value) {
+        return value.toString().getBytes(StandardCharsets.UTF_8);
     }
 
-    /** The route of a request; null if there is none. */
+    /** The route of a request, the one with the longest prefix; null if there is none. */
     public Route route(String host, String path) {
-        List<Route> all = byHost.get(host);
-        if (all != null) {
-            for (Route r : all) {
-                if (path.startsWith(r.prefix())) {
-                    return r;
-                }
+        Map<String, Route> prefixes = byHost.get(host);
+        if (prefixes == null) {
+            return null;
+        }
+        // Prefixes end with a slash.
+        for (int slash = path.lastIndexOf('/'); slash >= 0; slash = path.lastIndexOf('/', slash - 1)) {
+            Route route = prefixes.get(path.substring(0, slash + 1));
+            if (route != null) {
+                return route;
             }
         }
         return null;
--- a/src/main/java/quartzspan/controlplane/ControlPlane.java
+++ b/src/main/java/quartzspan/controlplane/ControlPlane.java
@@ -272,8 +272,7 @@
             gossip.onTick(now, replica.primary() ? null : replica.leader(now));
             List<RegistryEntry> heard = heartbeats.untold(now);
             if (!heard.isEmpty()) {
-                GossipMessage t =
-                        new GossipMessage(GossipMessage.Kind.HEARD, 0, -1, -1, -1, new long[0], heard, new byte[0]);
+                GossipMessage t = GossipMessage.heard(heard);
                 gossip.cores().forEach(c -> transport.send(c, t));
             }
             if (now - registry.freshAt() > IN_TOUCH_MS) {
@@ -332,8 +331,8 @@
 
     private void inForce(long index, ControlState state) {
         long now = ms();
-        if (registry.take(0, index, state, state.bytes())) {
-            gossip.tell(now, new Registry.News(List.of(), true), null);
+        if (registry.publish(index, state)) {
+            gossip.published(now);
         }
     }
 
--- a/src/main/java/quartzspan/registry/Gossip.java
+++ b/src/main/java/quartzspan/registry/Gossip.java
@@ -31,12 +31,15 @@
     /** News within this time of the last are collected and told together by the next tick. */
     private static final long COLLECT_MS = 40;
 
+    private static final long NEVER = Long.MIN_VALUE / 4;
+    private static final Registry.News NO_NEWS = new Registry.News(List.of(), false);
+
     /** Where messages go. */
     public interface Out {
         void send(String to, GossipMessage message);
     }
 
-    private record Asked(String to, long at) {}
+    private record Asked(String to, long at, boolean full) {}
 
     private final String self;
     private final boolean core;
@@ -50,6 +53,12 @@
     private final Map<String, RegistryEntry> untold = new LinkedHashMap<>();
 
     private boolean stateUntold;
+    /** Whether the untold state was published by this process. */
+    private boolean publishes;
+    /** Index of the state that was last told. */
+    private long indexTold = -1;
+
+    private final StateFetch fetches;
     private long toldAt = Long.MIN_VALUE / 2;
     /** How often in a row a core machine left a question without a good answer. */
     private final Map<String, Integer> poor = new HashMap<>();
@@ -84,6 +93,7 @@
         this.seeds = seeds;
         this.registry = registry;
         this.out = out;
+        this.fetches = new StateFetch(registry.states(), firstNonce, out);
         this.lastNonce = firstNonce;
     }
 
@@ -138,6 +148,10 @@
     /** To be called every 50 to 100 ms; {@code leader}: on a core machine, who is primary, if known and not itself. */
     public void onTick(long now, String leader) {
         tellCollected(now);
+        String mute = fetches.onTick(now);
+        if (mute != null) {
+            poor.merge(mute, 1, Integer::sum);
+        }
         open.entrySet().removeIf(e -> {
             boolean late = now - e.getValue().at() > PATIENCE_MS;
             if (late) {
@@ -145,17 +159,17 @@
             }
             return late;
         });
-        receipts.due(now, cores()).forEach(r -> sendForReceipt(now, r.nonce(), r.news(), r.to()));
+        receipts.due(now, cores()).forEach(r -> sendForReceipt(r.nonce(), r.news(), r.to()));
         if (now >= coreAt) {
             coreAt = now + CORE_MS;
             List<String> cores = cores();
             if (leader != null) {
-                ask(now, leader);
+                ask(now, leader, false);
             } else if (!cores.isEmpty()) {
-                ask(now, cores.get(0));
+                ask(now, cores.get(0), false);
                 // The first choice again, now and then: it may be well again.
                 if (poor.getOrDefault(cores.get(0), 0) > 0 && cores.size() > 1) {
-                    ask(now, cores.get(1 + turn++ % (cores.size() - 1)));
+                    ask(now, cores.get(1 + turn++ % (cores.size() - 1)), false);
                 }
             }
         }
@@ -163,7 +177,7 @@
             peerAt = now + PEER_MS;
             List<String> peers = core ? cores() : peers();
             if (!peers.isEmpty()) {
-                ask(now, peers.get(turn++ % peers.size()));
+                ask(now, peers.get(turn++ % peers.size()), false);
             }
             askers.values().removeIf(at -> now - at > ASKED_MS);
             if (poor.size() > 0 && turn % 8 == 0) {
@@ -172,39 +186,21 @@
         }
     }
 
-    private void ask(long now, String to) {
-        open.put(++lastNonce, new Asked(to, now));
-        out.send(to, registry.ask(now, lastNonce));
+    private void ask(long now, String to, boolean full) {
+        open.put(++lastNonce, new Asked(to, now, full));
+        out.send(to, registry.ask(now, lastNonce, full));
     }
 
     /** Something came; the news in it have been passed on already. */
     public Registry.News onGossip(long now, String from, GossipMessage in) {
-        long askedAt = now;
-        switch (in.kind()) {
-            case ASK -> {
-                askers.put(from, now);
-                out.send(from, registry.answer(now, in));
-            }
-            case ANSWER -> {
-                Asked asked = open.containsKey(in.nonce())
-                                && open.get(in.nonce()).to().equals(from)
-                        ? open.remove(in.nonce())
-                        : null;
-                receipts.acknowledged(in.nonce(), from);
-                if (asked != null) {
-                    askedAt = asked.at();
-                    poor.put(from, in.ageMs() < 0 || in.ageMs() > STALE_MS ? poor.getOrDefault(from, 0) + 1 : 0);
-                } else {
-                    askedAt = Long.MIN_VALUE / 4;
-                }
-                sendLacking(now, from, in);
-            }
-            default -> {}
-        }
-        Registry.News news = registry.take(now, in, askedAt);
-        if (in.kind() == GossipMessage.Kind.NEWS && in.nonce() != 0 && !leaving) {
-            out.send(from, receipt(in.nonce()));
-        }
+        Registry.News news =
+                switch (in.kind()) {
+                    case ASK -> onAsk(now, from, in);
+                    case ANSWER -> onAnswer(now, from, in);
+                    case FETCH -> onFetch(from, in);
+                    case FETCHED -> onFetched(now, from, in);
+                    default -> onNews(now, from, in);
+                };
         if (news.any()) {
             tell(now, news, from);
         }
@@ -216,37 +212,64 @@
         leaving = true;
     }
 
-    /** Says that the news with this nonce are held here. */
-    private static GossipMessage receipt(long nonce) {
-        return new GossipMessage(
-                GossipMessage.Kind.ANSWER,
-                nonce,
-                -1,
-                -1,
-                -1,
-                GossipMessage.UNCOMPARED,
-                List.of(),
-                GossipMessage.NOTHING);
+    private Registry.News onAsk(long now, String from, GossipMessage in) {
+        askers.put(from, now);
+        out.send(from, registry.answer(now, in));
+        return NO_NEWS;
     }
 
-    /** What the one who answered does not have, or has older. */
-    private void sendLacking(long now, String to, GossipMessage in) {
-        if (in.buckets().length != Registry.BUCKETS) {
-            return;
+    private Registry.News onAnswer(long now, String from, GossipMessage in) {
+        Asked asked = open.get(in.nonce());
+        if (asked != null && asked.to().equals(from)) {
+            open.remove(in.nonce());
+        } else {
+            asked = null;
         }
-        GossipMessage mine = registry.answer(now, in);
-        if (!mine.entries().isEmpty() || mine.controlState().length > 0) {
-            out.send(
-                    to,
-                    new GossipMessage(
-                            GossipMessage.Kind.NEWS,
-                            0,
-                            -1,
-                            mine.stateEpoch(),
-                            mine.stateIndex(),
-                            GossipMessage.UNCOMPARED,
-                            mine.entries(),
-                            mine.controlState()));
+        receipts.acknowledged(in.nonce(), from);
+        if (asked != null) {
+            poor.put(from, in.ageMs() < 0 || in.ageMs() > STALE_MS ? poor.getOrDefault(from, 0) + 1 : 0);
+        }
+        Registry.News news = registry.take(now, in, asked == null ? NEVER : asked.at());
+        if (asked != null && in.buckets().length == Registry.BUCKETS) {
+            if (asked.full()) {
+                sendLacking(from, in.buckets());
+            } else {
+                ask(now, from, true);
+            }
+        }
+        fetches.onIndex(now, from, in.stateIndex(), false);
+        return news;
+    }
+
+    private Registry.News onNews(long now, String from, GossipMessage in) {
+        Registry.News news = registry.take(now, in, NEVER);
+        if (in.nonce() != 0 && !leaving) {
+            out.send(from, GossipMessage.receipt(in.nonce()));
+        }
+        fetches.onIndex(now, from, in.stateIndex(), !in.deltas().isEmpty());
+        return news;
+    }
+
+    /** Tells the steps from the asker's state to the one held, or a part of a snapshot where the steps are not known. */
+    private Registry.News onFetch(String from, GossipMessage in) {
+        StateFollower states = registry.states();
+        boolean anyWill = in.chunk().index() == SnapshotChunk.ANY;
+        List<StateDelta> steps = anyWill ? states.since(in.stateIndex()) : List.of();
+        SnapshotChunk chunk = steps.isEmpty() ? states.chunk(in.stateIndex(), in.chunk()) : SnapshotChunk.NONE;
+        out.send(from, GossipMessage.fetched(in.nonce(), states.index(), steps, chunk));
+        return NO_NEWS;
+    }
+
+    private Registry.News onFetched(long now, String from, GossipMessage in) {
+        boolean newer = fetches.onFetched(now, from, in);
+        return newer ? new Registry.News(List.of(), true) : NO_NEWS;
+    }
+
+    /** What the one who answered does not have, or has older. */
+    private void sendLacking(String to, long[] buckets) {
+        List<RegistryEntry> lacking = registry.differing(buckets);
+        if (!lacking.isEmpty()) {
+            out.send(to, GossipMessage.news(0, registry.stateIndex(), lacking, List.of()));
         }
     }
 
@@ -262,7 +285,8 @@
 
     /**
      * Passes news on: a proxy to the few it knows, a core machine to who asked it of late and to the rest of the core. The
-     * first goes at once; what follows within {@link #COLLECT_MS} goes together.
+     * first goes at once; what follows within {@link #COLLECT_MS} goes together. Of the state a core machine tells the steps;
+     * others only say which they hold, and who still lacks it then fetches it.
      */
     public void tell(long now, Registry.News news, String not) {
         if (now - toldAt < COLLECT_MS) {
@@ -289,12 +313,22 @@
         if (core) {
             to.addAll(cores());
         }
-        GossipMessage message = registry.news(now, news.entries(), news.state());
+        List<StateDelta> steps = core && news.state() ? registry.states().since(indexTold) : List.of();
+        indexTold = registry.stateIndex();
+        GossipMessage index = GossipMessage.news(0, indexTold, news.entries(), List.of());
+        GossipMessage whole = GossipMessage.news(0, indexTold, news.entries(), steps);
         for (String other : to) {
             if (!other.equals(not) && !other.equals(self)) {
-                out.send(other, message);
+                out.send(other, publishes || !cores().contains(other) ? whole : index);
             }
         }
+        publishes = false;
+    }
+
+    /** A new state was published by this process: the rest of the core has it from nobody else. */
+    public void published(long now) {
+        publishes = true;
+        tell(now, new Registry.News(List.of(), true), null);
     }
 
     /**
@@ -311,11 +345,11 @@
             peers().stream().filter(p -> !others.contains(p)).forEach(others::add);
         }
         others.removeAll(cores);
-        GossipMessage plain = registry.news(now, news, false);
+        GossipMessage plain = GossipMessage.news(0, registry.stateIndex(), news, List.of());
         others.forEach(to -> out.send(to, plain));
         long nonce = ++lastNonce;
         receipts.open(now, nonce, wanted, cores, news, known);
-        sendForReceipt(now, nonce, news, cores);
+        sendForReceipt(nonce, news, cores);
         return nonce;
     }
 
@@ -324,17 +358,8 @@
         receipts.cancel(receipt);
     }
 
-    private void sendForReceipt(long now, long nonce, List<RegistryEntry> news, List<String> to) {
-        GossipMessage plain = registry.news(now, news, false);
-        GossipMessage asking = new GossipMessage(
-                plain.kind(),
-                nonce,
-                plain.ageMs(),
-                plain.stateEpoch(),
-                plain.stateIndex(),
-                plain.buckets(),
-                plain.entries(),
-                plain.controlState());
+    private void sendForReceipt(long nonce, List<RegistryEntry> news, List<String> to) {
+        GossipMessage asking = GossipMessage.news(nonce, registry.stateIndex(), news, List.of());
         to.forEach(c -> out.send(c, asking));
     }
 }
--- /dev/null
+++ b/src/main/java/quartzspan/registry/PublishedState.java
@@ -0,0 +1,118 @@
+package quartzspan.registry;
+
+import jakarta.json.JsonObject;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.Map;
+import java.util.TreeMap;
+import quartzspan.common.FleetException;
+import quartzspan.configuration.Configuration;
+import quartzspan.replication.ControlState;
+
+/**
+ * What all processes need of the control state. Unlike the whole of it, this lacks what only a primary judges orders by.
+ *
+ * @param weights versions of weights that were named, by model
+ * @param holder the replica that last claimed the duty of loading weights; empty if nobody did
+ */
+public record PublishedState(Configuration configuration, Map<String, Long> weights, String holder) {
+    /** Before the first change. */
+    public static final PublishedState EMPTY = of(ControlState.EMPTY);
+
+    /** What is published of a control state. */
+    public static PublishedState of(ControlState state) {
+        return new PublishedState(state.configuration(), Map.copyOf(state.weights()), state.holder());
+    }
+
+    /** The difference from this state to a later one; null if only the whole of the later one expresses it. */
+    byte[] deltaTo(PublishedState later) {
+        JsonObject patch = later.configuration.patchFrom(configuration);
+        if (patch == null || !later.weights.keySet().containsAll(weights.keySet())) {
+            return null;
+        }
+        Map<String, Long> named = new TreeMap<>(later.weights);
+        named.entrySet().removeIf(weight -> weight.getValue().equals(weights.get(weight.getKey())));
+        boolean sameConfiguration = later.configuration.version() == configuration.version();
+        return encode(sameConfiguration ? NOTHING : Configuration.text(patch), named, later.holder);
+    }
+
+    /**
+     * The state that a difference leads to.
+     *
+     * @throws FleetException if it doesn't fit this state
+     */
+    PublishedState with(byte[] delta) {
+        try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(delta))) {
+            byte[] patch = readBytes(in, delta.length);
+            Map<String, Long> next = new TreeMap<>(weights);
+            readWeights(in, next);
+            return new PublishedState(
+                    patch.length == 0 ? configuration : configuration.updated(Configuration.json(patch)),
+                    Map.copyOf(next),
+                    in.readUTF());
+        } catch (IOException e) {
+            throw unreadable(e);
+        }
+    }
+
+    /** The whole state in binary form. */
+    byte[] bytes() {
+        return encode(configuration.bytes(), weights, holder);
+    }
+
+    /** Reads {@link #bytes}. */
+    static PublishedState parse(byte[] bytes) {
+        try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes))) {
+            Configuration configuration = Configuration.read(readBytes(in, bytes.length));
+            Map<String, Long> weights = new TreeMap<>();
+            readWeights(in, weights);
+            return new PublishedState(configuration, Map.copyOf(weights), in.readUTF());
+        } catch (IOException e) {
+            throw unreadable(e);
+        }
+    }
+
+    private static final byte[] NOTHING = {};
+
+    private static byte[] encode(byte[] document, Map<String, Long> weights, String holder) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream(document.length + 64);
+        try (DataOutputStream out = new DataOutputStream(bytes)) {
+            out.writeInt(document.length);
+            out.write(document);
+            out.writeInt(weights.size());
+            for (Map.Entry<String, Long> weight : weights.entrySet()) {
+                out.writeUTF(weight.getKey());
+                out.writeLong(weight.getValue());
+            }
+            out.writeUTF(holder);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return bytes.toByteArray();
+    }
+
+    private static byte[] readBytes(DataInputStream in, int atMost) throws IOException {
+        int length = in.readInt();
+        if (length < 0 || length > atMost) {
+            throw unreadable(null);
+        }
+        return in.readNBytes(length);
+    }
+
+    private static void readWeights(DataInputStream in, Map<String, Long> into) throws IOException {
+        for (int n = in.readInt(); n > 0; n--) {
+            into.put(in.readUTF(), in.readLong());
+        }
+    }
+
+    private static FleetException unreadable(IOException why) {
+        return new FleetException(
+                FleetException.Code.MESSAGE_INVALID,
+                "a published state can't be read" + (why == null ? "" : ": " + why),
+                "run the same version on all machines");
+    }
+}
--- a/src/main/java/quartzspan/registry/Registry.java
+++ b/src/main/java/quartzspan/registry/Registry.java
@@ -12,7 +12,7 @@
 import quartzspan.replication.ControlState;
 
 /**
- * What one process knows of the fleet: entries, and the newest control state it was told. Every process has one; they pass on
+ * What one process knows of the fleet: entries, and the newest published state it was told. Every process has one; they pass on
  * news to a few others, and find gaps by comparing digests. No clock, no I/O; times are milliseconds of a steady clock.
  */
 public final class Registry {
@@ -29,10 +29,10 @@
     private final long[] buckets = new long[BUCKETS];
     private List<Server> servers = List.of();
     private long serversAsOf;
-    private long stateEpoch = -1;
-    private long stateIndex = -1;
-    private ControlState state = ControlState.EMPTY;
-    private byte[] stateBytes = GossipMessage.NOTHING;
+    /** Digest of all entries. */
+    private long digest;
+
+    private final StateFollower states = new StateFollower();
     /** The latest time at which what is held here was surely the newest. */
     private long freshAt = Long.MIN_VALUE / 2;
 
@@ -124,7 +124,7 @@
         }
         String id = id(entry);
         int b = bucket(entry.key());
-        buckets[b] ^= (old == null ? 0 : old.digest()) ^ entry.digest();
+        toggle(b, (old == null ? 0 : old.digest()) ^ entry.digest());
         byBucket.get(b).put(id, entry);
         shelf.entries.put(entry.key(), entry);
         shelf.changes++;
@@ -136,6 +136,11 @@
         return true;
     }
 
+    private void toggle(int bucket, long digests) {
+        buckets[bucket] ^= digests;
+        digest ^= digests;
+    }
+
     /** Forgets what has long been gone. */
     public void tidy(long now) {
         goneAt.entrySet().removeIf(e -> {
@@ -147,34 +152,29 @@
             shelf.changes++;
             int b = bucket(forgotten.key());
             byBucket.get(b).remove(e.getKey());
-            buckets[b] ^= forgotten.digest();
+            toggle(b, forgotten.digest());
             return true;
         });
     }
 
-    /** Takes a control state; whether it was newer than the one held. */
-    public boolean take(long epoch, long index, ControlState newer, byte[] bytes) {
-        if (epoch < stateEpoch || epoch == stateEpoch && index <= stateIndex) {
-            return false;
-        }
-        stateEpoch = epoch;
-        stateIndex = index;
-        state = newer;
-        stateBytes = bytes;
-        return true;
+    /** Takes a committed state from the replica at this process; whether it is newer than the one held. */
+    public boolean publish(long index, ControlState committed) {
+        return states.publish(index, committed);
     }
 
-    /** The newest control state known here. */
-    public ControlState state() {
-        return state;
+    /** The published state and its steps. */
+    StateFollower states() {
+        return states;
     }
 
-    public long stateEpoch() {
-        return stateEpoch;
+    /** The newest published state known here. */
+    public PublishedState state() {
+        return states.state();
     }
 
+    /** The committed index of {@link #state}; -1 if there is none. */
     public long stateIndex() {
-        return stateIndex;
+        return states.index();
     }
 
     /** When the state held here was last surely the newest. */
@@ -190,53 +190,43 @@
         return freshAt < 0 && freshAt < now - Integer.MAX_VALUE ? -1 : now - freshAt;
     }
 
-    /** A question that names what is known here. */
-    public GossipMessage ask(long now, long nonce) {
+    /** A question that names what is known here; {@code full}: bucket by bucket, else by one digest of all. */
+    GossipMessage ask(long now, long nonce, boolean full) {
+        long[] digests = full ? buckets.clone() : new long[] {digest};
         return new GossipMessage(
                 GossipMessage.Kind.ASK,
                 nonce,
                 age(now),
-                stateEpoch,
-                stateIndex,
-                buckets.clone(),
+                states.index(),
+                digests,
                 List.of(),
-                GossipMessage.NOTHING);
+                List.of(),
+                SnapshotChunk.NONE);
     }
 
-    /** The answer to a question: what the asker lacks, or has otherwise. */
-    public GossipMessage answer(long now, GossipMessage ask) {
-        List<RegistryEntry> differ = new ArrayList<>();
-        if (ask.buckets().length == BUCKETS) {
-            for (int b = 0; b < BUCKETS; b++) {
-                if (buckets[b] != ask.buckets()[b]) {
-                    differ.addAll(byBucket.get(b).values());
-                }
-            }
-        }
-        boolean older =
-                ask.stateEpoch() < stateEpoch || ask.stateEpoch() == stateEpoch && ask.stateIndex() < stateIndex;
+    /** The answer to a question: what the asker lacks or has otherwise, or the digests by which it can ask for that. */
+    GossipMessage answer(long now, GossipMessage ask) {
+        boolean same = ask.buckets().length == 1 && ask.buckets()[0] == digest;
         return new GossipMessage(
                 GossipMessage.Kind.ANSWER,
                 ask.nonce(),
                 age(now),
-                stateEpoch,
-                stateIndex,
-                buckets.clone(),
-                differ,
-                older ? stateBytes : GossipMessage.NOTHING);
+                states.index(),
+                same ? GossipMessage.UNCOMPARED : buckets.clone(),
+                differing(ask.buckets()),
+                List.of(),
+                SnapshotChunk.NONE);
     }
 
-    /** News to pass on, unasked; {@code withState}: with the control state. */
-    public GossipMessage news(long now, List<RegistryEntry> news, boolean withState) {
-        return new GossipMessage(
-                GossipMessage.Kind.NEWS,
-                0,
-                -1,
-                stateEpoch,
-                stateIndex,
-                GossipMessage.UNCOMPARED,
-                news,
-                withState ? stateBytes : GossipMessage.NOTHING);
+    /** The entries here in those buckets whose digests differ. */
+    List<RegistryEntry> differing(long[] others) {
+        List<RegistryEntry> differ = new ArrayList<>();
+        for (int b = 0; b < BUCKETS && others.length == BUCKETS; b++) {
+            if (buckets[b] != others[b]) {
+                differ.addAll(byBucket.get(b).values());
+            }
+        }
+        return differ;
     }
 
     /** What was new in message. */
@@ -246,11 +236,9 @@
         }
     }
 
-    /** Takes in what another says; {@code askedAt}: when the question left, for an answer. */
-    public News take(long now, GossipMessage in, long askedAt) {
-        boolean newer = in.controlState().length > 0
-                && (in.stateEpoch() > stateEpoch || in.stateEpoch() == stateEpoch && in.stateIndex() > stateIndex)
-                && take(in.stateEpoch(), in.stateIndex(), ControlState.parse(in.controlState()), in.controlState());
+    /** Takes in what another says, but for parts of snapshots; {@code askedAt}: when the question left, for an answer. */
+    News take(long now, GossipMessage in, long askedAt) {
+        boolean newer = states.apply(in.deltas());
         List<RegistryEntry> news = new ArrayList<>();
         for (RegistryEntry f : in.entries()) {
             if (take(now, f)) {
@@ -258,9 +246,7 @@
             }
         }
         // Its state was the newest so long before it answered, and it answered after it was asked.
-        if (in.kind() == GossipMessage.Kind.ANSWER
-                && in.ageMs() >= 0
-                && (stateEpoch > in.stateEpoch() || stateEpoch == in.stateEpoch() && stateIndex >= in.stateIndex())) {
+        if (in.kind() == GossipMessage.Kind.ANSWER && in.ageMs() >= 0 && states.index() >= in.stateIndex()) {
             fresh(askedAt - in.ageMs());
         }
         return new News(news, newer);
--- /dev/null
+++ b/src/main/java/quartzspan/registry/StateFetch.java
@@ -0,0 +1,142 @@
+package quartzspan.registry;
+
+import java.io.ByteArrayOutputStream;
+import quartzspan.common.FleetException;
+
+/**
+ * Fetches the published state from a process that holds a newer one: the steps, or a snapshot part by part. From one process at
+ * a time, so that nothing large comes twice. No clock, no I/O.
+ */
+final class StateFetch {
+    /** A request that is not answered in this time is given up. */
+    private static final long PATIENCE_MS = 600;
+
+    private static final int MAX_SNAPSHOT_BYTES = 16 * 1024 * 1024;
+
+    private final StateFollower states;
+    private final Gossip.Out out;
+    private long lastNonce;
+    /** Whom the open request is put to; null if there is none. */
+    private String source;
+
+    private long askedAt;
+    /** The snapshot that is being read, as far as it came. */
+    private long snapshotIndex = -1;
+
+    private ByteArrayOutputStream read = new ByteArrayOutputStream();
+    /** The steps from the state held don't fit it: only a snapshot helps. */
+    private boolean stepsFailed;
+    /** Who was last heard to hold a newer state, and which. */
+    private String holder;
+
+    private long heldIndex = -1;
+
+    /** @param firstNonce one that no other life of this process is likely to be near */
+    StateFetch(StateFollower states, long firstNonce, Gossip.Out out) {
+        this.states = states;
+        this.lastNonce = firstNonce;
+        this.out = out;
+    }
+
+    /**
+     * Another process holds the state at an index. Most often it is on its way here as well: unless there is none here yet, or
+     * steps came that don't fit ({@code gap}), the next tick sees whether it is still needed.
+     */
+    void onIndex(long now, String from, long index, boolean gap) {
+        if (index <= states.index()) {
+            return;
+        }
+        if (index > heldIndex || holder == null) {
+            heldIndex = index;
+            holder = from;
+        }
+        if (gap || states.index() < 0) {
+            begin(now, from);
+        }
+    }
+
+    /** To be called every 50 to 100 ms; who left a request unanswered, or null. */
+    String onTick(long now) {
+        String mute = null;
+        if (source != null && now - askedAt > PATIENCE_MS) {
+            mute = source;
+            source = null;
+        }
+        if (heldIndex > states.index() && holder != null && source == null && mute == null) {
+            String from = holder;
+            holder = null;
+            begin(now, from);
+        }
+        return mute;
+    }
+
+    private void begin(long now, String from) {
+        if (source == null) {
+            source = from;
+            snapshotIndex = stepsFailed ? SnapshotChunk.WITHOUT_STEPS : SnapshotChunk.ANY;
+            read = new ByteArrayOutputStream();
+            request(now);
+        }
+    }
+
+    private void request(long now) {
+        askedAt = now;
+        out.send(
+                source,
+                GossipMessage.fetch(++lastNonce, states.index(), SnapshotChunk.request(snapshotIndex, read.size())));
+    }
+
+    /** The answer to a request; whether the state held moved on by it. */
+    boolean onFetched(long now, String from, GossipMessage in) {
+        if (!from.equals(source) || in.nonce() != lastNonce) {
+            return false;
+        }
+        if (in.chunk().total() > 0) {
+            return onChunk(now, in);
+        }
+        source = null;
+        boolean newer = states.apply(in.deltas());
+        boolean behind = in.stateIndex() > states.index();
+        stepsFailed = behind && !newer && !in.deltas().isEmpty();
+        if (behind) {
+            begin(now, from);
+        }
+        return newer;
+    }
+
+    private boolean onChunk(long now, GossipMessage in) {
+        SnapshotChunk chunk = in.chunk();
+        if (chunk.offset() == 0) {
+            read.reset();
+            snapshotIndex = chunk.index();
+        }
+        if (chunk.index() != snapshotIndex || chunk.offset() != read.size() || chunk.total() > MAX_SNAPSHOT_BYTES) {
+            source = null;
+            return false;
+        }
+        read.write(chunk.bytes(), 0, chunk.bytes().length);
+        if (read.size() < chunk.total()) {
+            request(now);
+            return false;
+        }
+        String from = source;
+        source = null;
+        stepsFailed = false;
+        boolean newer = takeSnapshot();
+        if (newer && in.stateIndex() > states.index()) {
+            begin(now, from);
+        }
+        return newer;
+    }
+
+    private boolean takeSnapshot() {
+        byte[] bytes = read.toByteArray();
+        read = new ByteArrayOutputStream();
+        try {
+            return states.take(new Snapshot(snapshotIndex, bytes));
+        } catch (FleetException e) {
+            // Nothing is taken of what can't be read whole; somebody else is asked when next heard.
+            return false;
+        }
+    }
+}
--- a/src/main/java/quartzspan/transport/MessageCodec.java
+++ b/src/main/java/quartzspan/transport/MessageCodec.java
@@ -1,7 +1,5 @@
 package quartzspan.transport;
 
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Map;
 import java.util.StringJoiner;
 import java.util.TreeMap;
@@ -11,7 +9,6 @@
 import quartzspan.common.FleetException;
 import quartzspan.promptindex.PromptIndexUpdate;
 import quartzspan.registry.GossipMessage;
-import quartzspan.registry.RegistryEntry;
 import quartzspan.replication.Ballot;
 import quartzspan.replication.ReplicaMessage;
 import quartzspan.replication.View;
@@ -36,7 +33,6 @@
 
     private static final int FLAG_OK = 1;
     private static final int FLAG_BLANK = 2;
-    private static final int MOST_ENTRIES = 60_000;
 
     /** Who opened a connection; {@code control} is where it answers servers and operators, empty for proxies. */
     public record Hello(boolean core, String address, String control, String zone) {}
@@ -58,28 +54,7 @@
         } else if (message instanceof ReplicaMessage l) {
             length = encode(l, new ReplicaFrameEncoder().wrapAndApplyHeader(to, 0, head));
         } else if (message instanceof GossipMessage t) {
-            GossipFrameEncoder e = new GossipFrameEncoder().wrapAndApplyHeader(to, 0, head);
-            e.kind((short) t.kind().ordinal())
-                    .nonce(t.nonce())
-                    .ageMs(t.ageMs())
-                    .stateEpoch(t.stateEpoch())
-                    .stateIndex(t.stateIndex());
-            GossipFrameEncoder.BucketsEncoder buckets = e.bucketsCount(t.buckets().length);
-            for (long b : t.buckets()) {
-                buckets.next().digest(b);
-            }
-            GossipFrameEncoder.EntriesEncoder entries =
-                    e.entriesCount(t.entries().size());
-            for (RegistryEntry f : t.entries()) {
-                entries.next()
-                        .subject((short) f.subject().ordinal())
-                        .state((short) f.state().ordinal())
-                        .seq(f.seq())
-                        .key(f.key())
-                        .text(f.text());
-            }
-            e.putControlState(t.controlState(), 0, t.controlState().length);
-            length = e.limit();
+            length = GossipCodec.encode(t, new GossipFrameEncoder().wrapAndApplyHeader(to, 0, head));
         } else if (message instanceof PromptIndexUpdate c) {
             PromptIndexFrameEncoder e = new PromptIndexFrameEncoder().wrapAndApplyHeader(to, 0, head);
             e.kind((short) c.kind().ordinal()).stream(c.stream()).seq(c.seq());
@@ -110,7 +85,7 @@
                         new HelloMessageDecoder().wrapAndApplyHeader(from, 0, head));
                 case ReplicaFrameDecoder.TEMPLATE_ID -> replicaMessage(
                         new ReplicaFrameDecoder().wrapAndApplyHeader(from, 0, head));
-                case GossipFrameDecoder.TEMPLATE_ID -> gossipMessage(
+                case GossipFrameDecoder.TEMPLATE_ID -> GossipCodec.decode(
                         new GossipFrameDecoder().wrapAndApplyHeader(from, 0, head));
                 case PromptIndexFrameDecoder.TEMPLATE_ID -> promptIndexUpdate(
                         new PromptIndexFrameDecoder().wrapAndApplyHeader(from, 0, head));
@@ -197,42 +172,6 @@
         return all;
     }
 
-    private static GossipMessage gossipMessage(GossipFrameDecoder d) {
-        int kind = d.kind();
-        if (kind >= GossipMessage.Kind.values().length) {
-            throw nonsense("message " + kind);
-        }
-        long nonce = d.nonce();
-        long age = d.ageMs();
-        long epoch = d.stateEpoch();
-        long index = d.stateIndex();
-        GossipFrameDecoder.BucketsDecoder b = d.buckets();
-        long[] buckets = new long[bounded(b.count(), 4096)];
-        for (int i = 0; i < buckets.length; i++) {
-            buckets[i] = b.next().digest();
-        }
-        GossipFrameDecoder.EntriesDecoder f = d.entries();
-        int count = bounded(f.count(), MOST_ENTRIES);
-        List<RegistryEntry> entries = new ArrayList<>(count);
-        for (int i = 0; i < count; i++) {
-            f.next();
-            int subject = f.subject();
-            int state = f.state();
-            long seq = f.seq();
-            String key = f.key();
-            String text = f.text();
-            if (subject >= RegistryEntry.Subject.values().length || state >= RegistryEntry.State.values().length) {
-                throw nonsense("entry " + subject + "/" + state);
-            }
-            entries.add(new RegistryEntry(
-                    RegistryEntry.Subject.values()[subject], key, seq, RegistryEntry.State.values()[state], text));
-        }
-        byte[] controlState = new byte[bounded(d.controlStateLength(), MOST_BYTES)];
-        d.getControlState(controlState, 0, controlState.length);
-        return new GossipMessage(
-                GossipMessage.Kind.values()[kind], nonce, age, epoch, index, buckets, entries, controlState);
-    }
-
     private static PromptIndexUpdate promptIndexUpdate(PromptIndexFrameDecoder d) {
         int kind = d.kind();
         if (kind >= PromptIndexUpdate.Kind.values().length) {
@@ -252,14 +191,14 @@
         return new PromptIndexUpdate(PromptIndexUpdate.Kind.values()[kind], d.server(), stream, seq, parts, tokens);
     }
 
-    private static int bounded(int length, int most) {
+    static int bounded(int length, int most) {
         if (length < 0 || length > most) {
             throw nonsense("length " + length);
         }
         return length;
     }
 
-    private static FleetException nonsense(String what) {
+    static FleetException nonsense(String what) {
         return new FleetException(
                 FleetException.Code.MESSAGE_INVALID,
                 "no message of ours: " + what,
--- a/src/test/java/quartzspan/configuration/ConfigurationTest.java
+++ b/src/test/java/quartzspan/configuration/ConfigurationTest.java
@@ -6,7 +6,9 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import jakarta.json.JsonObject;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import quartzspan.common.FleetException;
 
@@ -84,4 +86,48 @@
                 FleetException.class,
                 () -> m.updated(Configuration.json(json("{'version':10,'remove':{'services':['s']}}"))));
     }
+
+    /** A patch leads from one configuration exactly to another, or there is none. */
+    @Test
+    void aPatchLeadsToTheVeryDocument() {
+        Configuration old = Configuration.read(json(GOOD));
+        for (String text : List.of(
+                GOOD.replace("'version':7", "'version':8"),
+                GOOD.replace("'version':7", "'version':8").replace("'timeout_ms':10", "'timeout_ms':11"),
+                GOOD.replace("'version':7", "'version':8").replace("'k2'", "'k3'"),
+                GOOD.replace("'version':7", "'version':8").replace("1.50", "1.5"),
+                GOOD.replace("'version':7", "'version':8").replace("'note'", "'limits':{'max_body_bytes':9},'note'"),
+                GOOD.replace("'version':7", "'version':8")
+                        .replace("'routes':[{'name':'a'", "'routes':[{'name':'c'")
+                        .replace("'/x/'", "'/c/'"))) {
+            Configuration next = Configuration.read(json(text));
+            JsonObject patch = next.patchFrom(old);
+            if (patch == null) {
+                assertTrue(text.contains("'name':'c'"), "only another order can't be expressed");
+                continue;
+            }
+            assertEquals(
+                    Configuration.json(next.bytes()),
+                    Configuration.json(old.updated(patch).bytes()));
+        }
+        assertNull(Configuration.read(json(GOOD.replace(",'note':{'kept':1.50}", "")))
+                .patchFrom(old));
+        Configuration without = Configuration.read(json("{'version':8,'routes':[],'services':[]}"));
+        Configuration with = Configuration.read(json("{'version':9,'routes':[],'services':[],'tenants':[]}"));
+        assertTrue(without.updated(with.patchFrom(without)).hasTenants());
+    }
+
+    @Test
+    void anUpdateChecksTheItemsThatStayAgainstThoseThatCome() {
+        Configuration old = Configuration.read(json(GOOD));
+        assertThrows(
+                FleetException.class,
+                () -> old.updated(Configuration.json(json("{'version':8,'upsert':{'routes':[{'name':'n',"
+                        + "'hostname':'h.example','path_prefix':'/x/','route_type':'read_only','timeout_ms':5,"
+                        + "'service':'s'}]}}"))));
+        assertThrows(
+                FleetException.class,
+                () -> old.updated(Configuration.json(
+                        json("{'version':8,'upsert':{'tenants':[{'name':'u','api_keys':['k2']}]}}"))));
+    }
 }
--- a/src/test/java/quartzspan/registry/ReceiptTest.java
+++ b/src/test/java/quartzspan/registry/ReceiptTest.java
@@ -29,10 +29,10 @@
                         receipt,
                         -1,
                         -1,
-                        -1,
                         GossipMessage.UNCOMPARED,
                         List.of(),
-                        GossipMessage.NOTHING));
+                        List.of(),
+                        SnapshotChunk.NONE));
     }
 
     private long tell(int wanted) {
@@ -145,10 +145,10 @@
                             question.nonce(),
                             0,
                             -1,
-                            -1,
                             GossipMessage.UNCOMPARED,
                             List.of(),
-                            GossipMessage.NOTHING));
+                            List.of(),
+                            SnapshotChunk.NONE));
         }
         assertTrue(registry.freshAt() < -1_000_000);
     }
--- a/src/test/java/quartzspan/registry/RegistryEntryTest.java
+++ b/src/test/java/quartzspan/registry/RegistryEntryTest.java
@@ -82,7 +82,7 @@
         Registry other = new Registry();
         one.take(0, entry(4, RegistryEntry.State.READY, "a"));
         other.take(0, entry(4, RegistryEntry.State.READY, "b"));
-        GossipMessage answer = other.answer(0, one.ask(0, 1));
+        GossipMessage answer = other.answer(0, one.ask(0, 1, true));
         assertTrue(one.take(0, answer, 0).any());
         assertEquals("b", one.entry(RegistryEntry.Subject.SERVER, "i").text());
     }
--- a/src/test/java/quartzspan/registry/RegistryTest.java
+++ b/src/test/java/quartzspan/registry/RegistryTest.java
@@ -93,17 +93,18 @@
                 0,
                 "{\"version\":3,\"routes\":[],\"services\":[]}".getBytes(StandardCharsets.UTF_8)));
         Registry core = new Registry();
-        core.take(1, 1, next, next.bytes());
+        core.publish(1, next);
         core.fresh(900);
         Registry proxy = new Registry();
-        GossipMessage answer = core.answer(1_000, proxy.ask(40, 7));
-        assertTrue(proxy.take(60, answer, 40).state());
+        GossipMessage answer = core.answer(1_000, proxy.ask(40, 7, false));
+        proxy.take(60, answer, 40);
+        assertTrue(proxy.freshAt() < -1_000_000, "fresher than what it holds");
+        assertTrue(proxy.states().take(Snapshot.of(1, core.state())));
+        assertTrue(proxy.freshAt() < -1_000_000, "an answer from before the state came says nothing of it");
+        proxy.take(60, answer, 40);
         assertEquals(-60, proxy.freshAt(), "asked at 40, and 100 old by then");
-        Registry behind = new Registry();
-        GossipMessage bare = new GossipMessage(answer.kind(), 1, 100, 1, 1, answer.buckets(), List.of(), new byte[0]);
-        behind.take(60, bare, 40);
-        assertTrue(behind.freshAt() < -1_000_000, "fresher than what it holds");
-        assertFalse(proxy.take(0, 9, ControlState.EMPTY, ControlState.EMPTY.bytes()), "never backwards");
+        assertFalse(proxy.publish(0, ControlState.EMPTY), "never backwards");
+        assertFalse(proxy.states().take(Snapshot.of(0, PublishedState.EMPTY)), "never backwards");
         assertEquals(3, proxy.state().configuration().version());
     }
 
--- /dev/null
+++ b/src/test/java/quartzspan/registry/StateGossipTest.java
@@ -0,0 +1,337 @@
+package quartzspan.registry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import jakarta.json.JsonObject;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+import quartzspan.configuration.Configuration;
+import quartzspan.replication.Change;
+import quartzspan.replication.ControlState;
+import quartzspan.transport.MessageCodec;
+
+/** How the published state reaches every process: by steps where they fit, else by a snapshot; never backwards. */
+class StateGossipTest {
+    private static final int ROUTES = 200;
+
+    private static String route(int number, int timeoutMs) {
+        return "{\"name\":\"r-" + number + "\",\"hostname\":\"h.example\",\"path_prefix\":\"/a" + number
+                + "/\",\"route_type\":\"streaming\",\"timeout_ms\":" + timeoutMs + ",\"service\":\"s\"}";
+    }
+
+    private static ControlState first() {
+        StringBuilder routes = new StringBuilder();
+        for (int i = 0; i < ROUTES; i++) {
+            routes.append(i == 0 ? "" : ",").append(route(i, 3000));
+        }
+        return ControlState.EMPTY.with(new Change(
+                Change.Kind.REPLACE,
+                0,
+                utf8("{\"version\":1,\"routes\":[" + routes + "],\"services\":[{\"name\":\"s\"}],\"tenants\":[]}")));
+    }
+
+    private static byte[] utf8(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** The state after one route changed; now and then sent as a whole, as weights, or with routes added and removed. */
+    private static ControlState after(ControlState state, int number) {
+        long version = state.configuration().version();
+        Change change =
+                switch (number % 5) {
+                    case 1 -> new Change(Change.Kind.WEIGHTS, 0, utf8("{\"model\":\"m\",\"version\":" + number + "}"));
+                    case 2 -> new Change(
+                            Change.Kind.REPLACE,
+                            version,
+                            utf8(new String(state.configuration().bytes(), StandardCharsets.UTF_8)
+                                    .replace("\"version\":" + version + ",", "\"version\":" + (version + 2) + ",")
+                                    .replace("3000", "2999")));
+                    case 3 -> update(version, route(ROUTES + number, 50), "\"r-" + (number % 20) + "\"");
+                    default -> update(version, route(100 + number % 50, 1000 + number), "");
+                };
+        return state.with(change);
+    }
+
+    private static Change update(long version, String route, String removed) {
+        return new Change(
+                Change.Kind.UPDATE,
+                version,
+                utf8("{\"version\":" + (version + 1) + ",\"upsert\":{\"routes\":[" + route
+                        + "]},\"remove\":{\"routes\":[" + removed + "]}}"));
+    }
+
+    private static JsonObject document(PublishedState state) {
+        return Configuration.json(state.configuration().bytes());
+    }
+
+    /** Processes on links that lose, delay and reorder messages. */
+    private static final class Fleet {
+        private record Flying(long at, long order, String from, String to, GossipMessage message) {}
+
+        final List<String> cores = List.of("c1:1", "c2:1", "c3:1");
+        final Map<String, Registry> registries = new LinkedHashMap<>();
+        final Map<String, Gossip> gossips = new HashMap<>();
+        final Map<String, Long> stateBytesTo = new HashMap<>();
+        final Map<String, Integer> chunksTo = new TreeMap<>();
+        final PriorityQueue<Flying> flying = new PriorityQueue<>(
+                (a, b) -> a.at() != b.at() ? Long.compare(a.at(), b.at()) : Long.compare(a.order(), b.order()));
+        final SplittableRandom random;
+        final int lostPercent;
+        final int delayMs;
+        long now;
+        private long sent;
+
+        Fleet(long seed, int proxies, int lostPercent, int delayMs) {
+            random = new SplittableRandom(seed);
+            this.lostPercent = lostPercent;
+            this.delayMs = delayMs;
+            cores.forEach(c -> start(c, cores));
+            for (int i = 0; i < proxies; i++) {
+                start("p" + i + ":1", cores);
+            }
+        }
+
+        void start(String name, List<String> seeds) {
+            Registry registry = new Registry();
+            registries.put(name, registry);
+            gossips.put(name, new Gossip(name, cores.contains(name), seeds, registry, (to, m) -> send(name, to, m)));
+            registries.values().forEach(r -> r.take(now, entry(name)));
+            registries.keySet().forEach(other -> registry.take(now, entry(other)));
+        }
+
+        private RegistryEntry entry(String name) {
+            RegistryEntry.Subject subject =
+                    cores.contains(name) ? RegistryEntry.Subject.CORE : RegistryEntry.Subject.PROXY;
+            return new RegistryEntry(subject, name, 1, RegistryEntry.State.READY, "");
+        }
+
+        private void send(String from, String to, GossipMessage message) {
+            boolean state = !message.deltas().isEmpty()
+                    || message.kind() == GossipMessage.Kind.NEWS
+                    || message.kind() == GossipMessage.Kind.FETCH
+                    || message.kind() == GossipMessage.Kind.FETCHED;
+            if (state) {
+                stateBytesTo.merge(to, (long) MessageCodec.encode(message).length, Long::sum);
+            }
+            if (message.chunk().total() > 0) {
+                chunksTo.merge(to, 1, Integer::sum);
+            }
+            if (random.nextInt(100) >= lostPercent) {
+                flying.add(new Flying(now + 1 + random.nextInt(delayMs), sent++, from, to, message));
+            }
+        }
+
+        void run(long untilMs) {
+            for (; now < untilMs; now++) {
+                while (!flying.isEmpty() && flying.peek().at() <= now) {
+                    deliver(flying.poll());
+                }
+                if (now % 50 == 0) {
+                    gossips.values().forEach(g -> g.onTick(now, null));
+                }
+            }
+        }
+
+        private void deliver(Flying f) {
+            Registry registry = registries.get(f.to());
+            if (registry != null) {
+                long before = registry.stateIndex();
+                gossips.get(f.to()).onGossip(now, f.from(), f.message());
+                assertTrue(registry.stateIndex() >= before, "backwards");
+            }
+        }
+
+        void publish(String core, long index, ControlState state) {
+            if (registries.get(core).publish(index, state)) {
+                gossips.get(core).published(now);
+            }
+        }
+
+        void assertAllHold(long index, ControlState state) {
+            registries.forEach((name, registry) -> {
+                assertEquals(index, registry.stateIndex(), name);
+                assertEquals(document(PublishedState.of(state)), document(registry.state()), name);
+                assertEquals(state.weights(), registry.state().weights(), name);
+                assertEquals(state.holder(), registry.state().holder(), name);
+            });
+        }
+    }
+
+    @Test
+    void everybodyHoldsTheSameAfterLossesDelaysAndChangesOfPrimary() {
+        for (int seed = 0; seed < 12; seed++) {
+            Fleet fleet = new Fleet(seed, 12, seed % 4 * 12, seed % 3 * 60 + 5);
+            ControlState state = first();
+            long index = 1;
+            fleet.publish("c1:1", index, state);
+            for (int i = 1; i <= 60; i++) {
+                fleet.run(fleet.now + 40 + fleet.random.nextInt(120));
+                state = after(state, i);
+                index += 1 + fleet.random.nextInt(2);
+                // Another primary may not have heard of the last changes; its replica has them all the same.
+                fleet.publish(fleet.cores.get(i / 21), index, state);
+                if (i % 15 == 0) {
+                    fleet.start("late" + i + ":1", fleet.cores);
+                }
+            }
+            fleet.run(fleet.now + 12_000);
+            fleet.assertAllHold(index, state);
+        }
+    }
+
+    @Test
+    void aChangeCostsBytesAsItIsLargeAndNotAsTheConfigurationIs() {
+        Fleet fleet = new Fleet(3, 40, 0, 3);
+        ControlState state = first();
+        fleet.run(2_000);
+        fleet.publish("c1:1", 1, state);
+        fleet.run(4_000);
+        fleet.assertAllHold(1, state);
+        fleet.stateBytesTo.clear();
+        int changes = 20;
+        for (int i = 0; i < changes; i++) {
+            state = state.with(update(state.configuration().version(), route(7, 100 + i), ""));
+            fleet.publish("c1:1", 2 + i, state);
+            fleet.run(fleet.now + 200);
+        }
+        fleet.run(fleet.now + 1_000);
+        fleet.assertAllHold(1 + changes, state);
+        long most = fleet.stateBytesTo.values().stream().mapToLong(b -> b).max().orElseThrow();
+        long whole = state.configuration().bytes().length;
+        assertTrue(whole > 20_000, "a configuration of " + whole + " bytes");
+        assertTrue(most / changes < 1_300, most / changes + " bytes to one process for each change");
+    }
+
+    @Test
+    void aWholeConfigurationIsFetchedOnceByEach() {
+        Fleet fleet = new Fleet(4, 40, 0, 3);
+        fleet.run(2_000);
+        ControlState state = first();
+        fleet.stateBytesTo.clear();
+        fleet.publish("c1:1", 1, state);
+        fleet.run(4_000);
+        fleet.assertAllHold(1, state);
+        long one = Snapshot.of(1, PublishedState.of(state)).bytes().length;
+        assertTrue(one < state.configuration().bytes().length / 4, one + " bytes compressed");
+        Map<String, Integer> once = new TreeMap<>();
+        fleet.registries.keySet().forEach(name -> once.put(name, 1));
+        once.remove("c1:1");
+        assertEquals(once, fleet.chunksTo);
+    }
+
+    @Test
+    void stepsThatDoNotBeginAtTheStateHeldChangeNothing() {
+        ControlState first = first();
+        ControlState second = after(first, 4);
+        ControlState third = after(second, 5);
+        StateFollower teller = new StateFollower();
+        teller.publish(3, first);
+        teller.publish(4, second);
+        teller.publish(6, third);
+        List<StateDelta> steps = teller.since(3);
+        assertEquals(2, steps.size());
+        assertTrue(teller.since(5).isEmpty(), "no state at 5 is known");
+
+        StateFollower empty = new StateFollower();
+        assertFalse(empty.apply(steps), "nothing to build on");
+        StateFollower gap = new StateFollower();
+        gap.publish(3, first);
+        assertFalse(gap.apply(steps.subList(1, 2)), "a step is missing");
+        assertEquals(3, gap.index());
+        assertTrue(gap.apply(List.of(steps.get(1), steps.get(0))), "what fits is taken");
+        assertEquals(4, gap.index());
+        assertTrue(gap.apply(steps), "the rest follows");
+        assertFalse(gap.apply(steps), "stale");
+        assertEquals(document(PublishedState.of(third)), document(gap.state()));
+        assertEquals(steps.size(), gap.since(3).size(), "and is passed on");
+
+        StateFollower damaged = new StateFollower();
+        damaged.publish(3, first);
+        assertFalse(damaged.apply(List.of(new StateDelta(3, 4, new byte[] {1, 2, 3}))));
+        assertEquals(3, damaged.index(), "what can't be applied is not guessed");
+    }
+
+    @Test
+    void aStepThatDoesNotFitIsMendedByASnapshot() {
+        Map<String, List<GossipMessage>> sent = new HashMap<>();
+        Registry registry = new Registry();
+        Gossip gossip = new Gossip(
+                "p:1", false, List.of("c1:1"), registry, (to, m) -> sent.computeIfAbsent(to, t -> new ArrayList<>())
+                        .add(m));
+        ControlState first = first();
+        registry.states().take(Snapshot.of(1, PublishedState.of(first)));
+        GossipMessage broken =
+                GossipMessage.news(0, 2, List.of(), List.of(new StateDelta(1, 2, new byte[] {9, 9, 9, 9, 9})));
+        gossip.onGossip(0, "c1:1", broken);
+        GossipMessage fetch = sent.get("c1:1").get(0);
+        assertEquals(GossipMessage.Kind.FETCH, fetch.kind());
+        gossip.onGossip(5, "c1:1", GossipMessage.fetched(fetch.nonce(), 2, broken.deltas(), SnapshotChunk.NONE));
+        assertEquals(1, registry.stateIndex());
+        GossipMessage again = sent.get("c1:1").get(1);
+        assertEquals(SnapshotChunk.WITHOUT_STEPS, again.chunk().index());
+        Snapshot whole = Snapshot.of(2, PublishedState.of(after(first, 4)));
+        assertTrue(gossip.onGossip(9, "c1:1", GossipMessage.fetched(again.nonce(), 2, List.of(), whole.chunk(0)))
+                .state());
+        assertEquals(2, registry.stateIndex());
+    }
+
+    /** A snapshot in parts: reading goes on while newer states come, and each part is asked for by itself. */
+    @Test
+    void aLargeSnapshotComesInPartsWhileChangesGoOn() {
+        SplittableRandom random = new SplittableRandom(1);
+        StringBuilder noise = new StringBuilder();
+        for (int i = 0; i < 300_000; i++) {
+            noise.append((char) ('a' + random.nextInt(26)));
+        }
+        ControlState state = ControlState.EMPTY.with(new Change(
+                Change.Kind.REPLACE,
+                0,
+                utf8("{\"version\":1,\"routes\":[],\"services\":[{\"name\":\"s\"}],\"note\":\"" + noise + "\"}")));
+        Fleet fleet = new Fleet(5, 3, 0, 20);
+        fleet.publish("c1:1", 1, state);
+        for (int i = 0; i < 40; i++) {
+            state = state.with(update(state.configuration().version(), route(i, 100 + i), ""));
+            fleet.publish("c1:1", 2 + i, state);
+            fleet.run(fleet.now + 20);
+        }
+        fleet.run(fleet.now + 1_000);
+        fleet.assertAllHold(41, state);
+        int parts = (Snapshot.of(41, PublishedState.of(state)).bytes().length + SnapshotChunk.MAX_BYTES - 1)
+                / SnapshotChunk.MAX_BYTES;
+        assertTrue(parts > 2, parts + " parts");
+        fleet.stateBytesTo.forEach((name, bytes) ->
+                assertTrue(bytes < 2L * (parts + 1) * SnapshotChunk.MAX_BYTES, bytes + " bytes to " + name));
+    }
+
+    @Test
+    void whoHearsOnlyAStaleCoreMachineIsNotFreshAndGoesForwardLater() {
+        Fleet fleet = new Fleet(6, 4, 0, 3);
+        ControlState old = first();
+        fleet.publish("c1:1", 1, old);
+        fleet.registries.get("c1:1").fresh(fleet.now);
+        fleet.run(1_000);
+        fleet.start("alone:1", List.of());
+        Registry alone = fleet.registries.get("alone:1");
+        Gossip gossip = fleet.gossips.get("alone:1");
+        Registry stale = new Registry();
+        stale.publish(1, old);
+        gossip.onGossip(fleet.now, "stale:1", GossipMessage.news(0, 1, List.of(), List.of()));
+        gossip.onGossip(fleet.now, "stale:1", stale.answer(fleet.now, alone.ask(fleet.now, 5, false)));
+        assertTrue(alone.freshAt() < -1_000_000, "nobody fresh was asked");
+        ControlState next = after(old, 4);
+        fleet.publish("c2:1", 2, next);
+        fleet.run(fleet.now + 3_000);
+        gossip.onGossip(fleet.now, "stale:1", GossipMessage.news(0, 1, List.of(), List.of()));
+        fleet.assertAllHold(2, next);
+    }
+}
--- a/src/test/java/quartzspan/transport/MessageCodecTest.java
+++ b/src/test/java/quartzspan/transport/MessageCodecTest.java
@@ -13,6 +13,8 @@
 import quartzspan.promptindex.PromptIndexUpdate;
 import quartzspan.registry.GossipMessage;
 import quartzspan.registry.RegistryEntry;
+import quartzspan.registry.SnapshotChunk;
+import quartzspan.registry.StateDelta;
 import quartzspan.replication.Ballot;
 import quartzspan.replication.ReplicaMessage;
 import quartzspan.replication.View;
@@ -44,13 +46,13 @@
             GossipMessage.Kind.ANSWER,
             3,
             12,
-            4,
             9,
             new long[] {1, -5, 9},
             List.of(
                     new RegistryEntry(RegistryEntry.Subject.SERVER, "i-1", 17, RegistryEntry.State.DRAINING, "s\tx"),
                     new RegistryEntry(RegistryEntry.Subject.PROXY, "", 0, RegistryEntry.State.READY, "")),
-            new byte[70_000]);
+            List.of(new StateDelta(4, 7, new byte[] {5, 6}), new StateDelta(7, 9, new byte[0])),
+            new SnapshotChunk(8, 65_536, 200_000, new byte[70_000]));
     private static final PromptIndexUpdate INDEX_UPDATE =
             new PromptIndexUpdate(PromptIndexUpdate.Kind.NEWS, "i-9", 4, 5, new long[] {8, 9}, new int[] {100, 0});
 
@@ -64,7 +66,14 @@
         GossipMessage t = (GossipMessage) MessageCodec.decode(MessageCodec.encode(GOSSIP));
         assertEquals(GOSSIP.entries(), t.entries());
         assertArrayEquals(GOSSIP.buckets(), t.buckets());
-        assertEquals(70_000, t.controlState().length);
+        assertEquals(9, t.stateIndex());
+        assertEquals(List.of(4L, 7L), t.deltas().stream().map(StateDelta::from).toList());
+        assertEquals(List.of(7L, 9L), t.deltas().stream().map(StateDelta::to).toList());
+        assertArrayEquals(new byte[] {5, 6}, t.deltas().get(0).change());
+        assertEquals(8, t.chunk().index());
+        assertEquals(65_536, t.chunk().offset());
+        assertEquals(200_000, t.chunk().total());
+        assertEquals(70_000, t.chunk().bytes().length);
         PromptIndexUpdate c = (PromptIndexUpdate) MessageCodec.decode(MessageCodec.encode(INDEX_UPDATE));
         assertArrayEquals(INDEX_UPDATE.parts(), c.parts());
         assertArrayEquals(INDEX_UPDATE.tokens(), c.tokens());
--- a/src/test/java/quartzspan/transport/TransportContractTest.java
+++ b/src/test/java/quartzspan/transport/TransportContractTest.java
@@ -23,6 +23,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import quartzspan.registry.GossipMessage;
+import quartzspan.registry.SnapshotChunk;
 import quartzspan.replication.Ballot;
 import quartzspan.replication.ReplicaMessage;
 import quartzspan.replication.View;
@@ -110,7 +111,8 @@
         }
         fromB.send(
                 a.address(),
-                new GossipMessage(GossipMessage.Kind.ASK, 1, -1, 0, 0, new long[32], List.of(), new byte[0]));
+                new GossipMessage(
+                        GossipMessage.Kind.ASK, 1, -1, 0, new long[32], List.of(), List.of(), SnapshotChunk.NONE));
         fromA.send("127.0.0.1:1", message(1, 1));
         List<Long> nonces = new ArrayList<>();
         List<Long> wanted = new ArrayList<>();
