Replication: the spare voter is taken in only beside voters that are all heard

Mend: a spare is taken in once it has stood by for 2.5 s and every voter is heard; a set with a spare drops a silent voter after 1 s.

--- a/src/main/java/quartzspan/replication/Contacts.java
+++ b/src/main/java/quartzspan/replication/Contacts.java
@@ -14,10 +14,13 @@
     /** A replica that ends says so every {@link Timing#RETRY_MS}; this long after its last word it has ended or come back. */
     private static final long LEAVING_MS = 1_000;
 
+    /** Since when a replica has stood by, and when it last said so. */
+    private record Standby(long since, long heardAt) {}
+
     private final String self;
     private final long startedAt;
     private final Map<String, Long> heardAt = new TreeMap<>();
-    private final Map<String, Long> standbys = new TreeMap<>();
+    private final Map<String, Standby> standbys = new TreeMap<>();
     private final Map<String, Long> leaving = new TreeMap<>();
 
     Contacts(String self, long startedAt) {
@@ -46,18 +49,26 @@
     }
 
     void standsBy(long now, String name) {
-        standbys.put(name, now);
+        Standby known = standbys.get(name);
+        boolean steady = known != null && now - known.heardAt() <= STANDBY_MS;
+        standbys.put(name, new Standby(steady ? known.since() : now, now));
     }
 
     /** Replicas that ask to be taken in and have no vote. */
     List<String> standbys(long now, View view) {
-        standbys.values().removeIf(at -> now - at > STANDBY_MS);
+        standbys.values().removeIf(standby -> now - standby.heardAt() > STANDBY_MS);
         return standbys.keySet().stream()
                 .filter(name ->
                         !view.electorate().contains(name) && !leaving(now).contains(name))
                 .toList();
     }
 
+    /** How long a replica has stood by without a break. */
+    long standingFor(long now, String name) {
+        Standby standby = standbys.get(name);
+        return standby == null ? 0 : now - standby.since();
+    }
+
     void leaves(long now, String name) {
         leaving.put(name, now);
     }
--- a/src/main/java/quartzspan/replication/Leadership.java
+++ b/src/main/java/quartzspan/replication/Leadership.java
@@ -417,7 +417,7 @@
             voters.set(voters.indexOf(replaced), standbys.get(0));
         } else if (replaced != null && voters.size() > needed) {
             voters.remove(replaced);
-        } else if (replaced == null && !standbys.isEmpty() && voters.size() <= needed) {
+        } else if (replaced == null && !standbys.isEmpty() && mayAdd(now, standbys.get(0))) {
             voters.add(standbys.get(0));
         } else {
             return null;
@@ -425,6 +425,21 @@
         return voters;
     }
 
+    /**
+     * Whether a standby may be taken in beside all voters: where there are too few, or as the spare one. Beside a voter that
+     * is silent it would make a set in which that one is missed twice.
+     */
+    private boolean mayAdd(long now, String standby) {
+        int needed = 2 * context.losses() + 1;
+        if (view.voters().size() < needed) {
+            return true;
+        }
+        boolean allHeard = view.voters().stream().allMatch(name -> contacts.silence(now, name) <= Timing.BACKUP_MS);
+        return view.voters().size() == needed
+                && allHeard
+                && contacts.standingFor(now, standby) >= Timing.SPARE_AFTER_MS;
+    }
+
     /** Whether a voter that ends can be done without. */
     private boolean hasSpareVoter(long now) {
         return !contacts.standbys(now, view).isEmpty() || view.voters().size() > 2 * context.losses() + 1;
@@ -432,10 +447,12 @@
 
     /** The voter that has been silent for longest, or else one that is about to end; null if there is none. */
     private String voterToReplace(long now) {
+        boolean spare = view.voters().size() > 2 * context.losses() + 1;
+        long limit = spare ? Timing.SPARE_VOTER_MS : Timing.VOTER_MS;
         String silent = null;
         for (String name : view.voters()) {
             long silence = contacts.silence(now, name);
-            if (silence > Timing.VOTER_MS && (silent == null || silence > contacts.silence(now, silent))) {
+            if (silence > limit && (silent == null || silence > contacts.silence(now, silent))) {
                 silent = name;
             }
         }
--- a/src/main/java/quartzspan/replication/Timing.java
+++ b/src/main/java/quartzspan/replication/Timing.java
@@ -20,6 +20,10 @@
     static final long BACKUP_MS = 600;
     /** Silence of a voter after which a standby takes its place for good. */
     static final long VOTER_MS = 2_000;
+    /** Silence of a voter after which it is dropped where there is one more than needed: an even set has no slack. */
+    static final long SPARE_VOTER_MS = 1_000;
+    /** A standby is taken in beside all other voters after this; by then whoever is silent has been replaced by it. */
+    static final long SPARE_AFTER_MS = 2_500;
     /** Time for one step of a candidacy. */
     static final long STEP_MS = 900;
     /** Time for a step that moves a whole control state. */
--- a/src/test/java/quartzspan/replication/HandoverTest.java
+++ b/src/test/java/quartzspan/replication/HandoverTest.java
@@ -97,6 +97,32 @@
         }
     }
 
+    /** A voter is gone, its successor comes and is lost again: a majority of the three is there all the while. */
+    @Test
+    void aStandbyIsNotTakenInBesideAVoterThatIsSilent() {
+        SimulatedCluster cluster = calm(1);
+        Machine gone = backup(cluster);
+        end(cluster, gone);
+        cluster.run(cluster.now + 800);
+        Machine successor = cluster.new Machine("10.0.9.9:7000");
+        cluster.machines.put(successor.name, successor);
+        successor.start(false);
+        for (int i = 0; i < 30; i++) {
+            cluster.run(cluster.now + 50);
+            Machine primary = cluster.primary();
+            if (primary != null) {
+                assertEquals(
+                        3,
+                        primary.replica.view().voters().size(),
+                        primary.replica.view().text());
+            }
+        }
+        cluster.run(cluster.now + CALM_MS);
+        View view = cluster.primary().replica.view();
+        assertTrue(view.voters().contains(successor.name), view.text());
+        assertFalse(view.voters().contains(gone.name), view.text());
+    }
+
     @Test
     void withoutAnybodyToTakeOverAPrimaryKeepsTheLeadUntilItEnds() {
         SimulatedCluster cluster = calm(1);
