Orders given up are taken back from the socket: a core machine's connections are reset on close

Cause, by reading: an order whose two seconds ran out behind a cut was closed with its bytes in the socket's buffer; the kernel goes on sending them, and when the link heals they may reach the server after the next holder's, a lower token after a higher one. Test: ServerClientTest.anOrderThatIsGivenUpIsTakenBackFromTheConnection (the server reads a reset; without it the end of the stream).

--- a/src/main/java/mulleinfront/proxy/Upstream.java
+++ b/src/main/java/mulleinfront/proxy/Upstream.java
@@ -96,6 +96,14 @@
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, dialTimeoutUs / 1000));
     }
 
+    /**
+     * From now on a connection that is closed takes with it what the other side has not read yet. A request that was given up
+     * then can't arrive late, when a link has healed.
+     */
+    public void dropUnsentOnClose() {
+        bootstrap.option(ChannelOption.SO_LINGER, 0);
+    }
+
     /** Closes what has been idle for long, from now on. */
     public void begin() {
         loop.scheduleWithFixedDelay(
--- a/src/main/java/quartzspan/controlplane/ServerClient.java
+++ b/src/main/java/quartzspan/controlplane/ServerClient.java
@@ -36,6 +36,8 @@
 
     ServerClient(Upstream upstream) {
         this.upstream = upstream;
+        // An order that was given up must not reach its server after the orders of the next holder.
+        upstream.dropUnsentOnClose();
     }
 
     /** Forgets the connections to servers that are gone. */
