--- a/src/main/java/quartzspan/controlplane/PromptIndexFollowing.java
+++ b/src/main/java/quartzspan/controlplane/PromptIndexFollowing.java
@@ -174,7 +174,7 @@
         Set<String> to = new LinkedHashSet<>(gossip.cores());
         to.addAll(gossip.askers());
         for (PromptIndexUpdate report : reports) {
-            promptIndex.take(report);
+            promptIndex.take(clockMs.getAsLong(), report);
             to.forEach(other -> transport.send(other, report));
         }
     }
@@ -188,7 +188,7 @@
             }
             return;
         }
-        if (promptIndex.take(update)) {
+        if (promptIndex.take(clockMs.getAsLong(), update)) {
             transport.send(
                     from,
                     new PromptIndexUpdate(PromptIndexUpdate.Kind.ASK, update.server(), 0, 0, new long[0], new int[0]));
--- a/src/main/java/quartzspan/controlplane/RolloutDuty.java
+++ b/src/main/java/quartzspan/controlplane/RolloutDuty.java
@@ -82,13 +82,13 @@
     private long servedFence = -1;
 
     /**
-     * @param applyMs time within which all servers are to have the weights that were named
+     * @param rollout whom to order when
      * @param reigns this machine's place at the moment of asking; empty while it is not primary
      */
-    RolloutDuty(String self, long leaseMs, long applyMs, Supplier<Optional<Reign>> reigns, Out out) {
+    RolloutDuty(String self, long leaseMs, Rollout rollout, Supplier<Optional<Reign>> reigns, Out out) {
         this.self = self;
         this.leaseMs = leaseMs;
-        this.rollout = new Rollout(applyMs);
+        this.rollout = rollout;
         this.reigns = reigns;
         this.out = out;
     }
--- a/src/main/java/quartzspan/frontend/FrontendProxy.java
+++ b/src/main/java/quartzspan/frontend/FrontendProxy.java
@@ -333,7 +333,9 @@
     }
 
     private void received(Hello from, Object message) {
-        if (message instanceof PromptIndexUpdate c && c.kind() != PromptIndexUpdate.Kind.ASK && promptIndex.take(c)) {
+        if (message instanceof PromptIndexUpdate c
+                && c.kind() != PromptIndexUpdate.Kind.ASK
+                && promptIndex.take(ms(), c)) {
             transport.send(
                     from.address(),
                     new PromptIndexUpdate(PromptIndexUpdate.Kind.ASK, c.server(), 0, 0, new long[0], new int[0]));
--- a/src/test/java/quartzspan/controlplane/RolloutDutyTest.java
+++ b/src/test/java/quartzspan/controlplane/RolloutDutyTest.java
@@ -48,7 +48,7 @@
 
         void restart() {
             epoch = -1;
-            duty = new RolloutDuty(name, LEASE_MS, APPLY_MS, this::reign, this);
+            duty = new RolloutDuty(name, LEASE_MS, new Rollout(APPLY_MS), this::reign, this);
         }
 
         private Optional<RolloutDuty.Reign> reign() {
