The local run starts the programs as they are deployed

The class-data archive lacked both programs' Main, their signal and shutdown lambdas, the frontend's seeds and all of an end: a proxy's start defined six lambda classes at run time (class-load log), for the local run called other entry points and ended without the shutdown hooks. It now runs the programs' own entry, the proxy at 127.0.0.2 as in deploy/examples, and ends by System.exit, so the hooks are archived as well; a failed run ends with status 1 where the programs' threads kept it for ever.

--- a/src/main/java/quartzspan/controlplane/Main.java
+++ b/src/main/java/quartzspan/controlplane/Main.java
@@ -14,12 +14,17 @@
     /** Takes no arguments: all comes from the settings file. */
     public static void main(String[] args) {
         try {
-            // Nothing of a core machine's settings may change while it runs.
-            Signal.handle(new Signal("HUP"), hup -> {});
-            ControlPlane house = ControlPlane.start(Settings.load());
-            Runtime.getRuntime().addShutdownHook(new Thread(house::stop));
+            run(Settings.load());
         } catch (Exception why) {
             Settings.refuse(why, LOG::error);
         }
     }
+
+    /** Starts the core machine and ties it to the process's signals; returns once it listens. */
+    public static void run(Settings settings) throws Exception {
+        // Nothing of a core machine's settings may change while it runs.
+        Signal.handle(new Signal("HUP"), hup -> {});
+        ControlPlane controlPlane = ControlPlane.start(settings);
+        Runtime.getRuntime().addShutdownHook(new Thread(controlPlane::stop));
+    }
 }
--- a/src/main/java/quartzspan/frontend/Main.java
+++ b/src/main/java/quartzspan/frontend/Main.java
@@ -15,14 +15,20 @@
     /** Takes no arguments: all comes from the settings file. */
     public static void main(String[] args) {
         try {
-            FrontendProxy proxy = FrontendProxy.start(Settings.load());
-            Signal.handle(new Signal("HUP"), hup -> reload(proxy));
-            Runtime.getRuntime().addShutdownHook(new Thread(proxy::leave));
+            run(Settings.load());
         } catch (Exception why) {
             Settings.refuse(why, LOG::error);
         }
     }
 
+    /** Starts the proxy and ties it to the process's signals; returns once it listens. */
+    public static FrontendProxy run(Settings settings) throws Exception {
+        FrontendProxy proxy = FrontendProxy.start(settings);
+        Signal.handle(new Signal("HUP"), hup -> reload(proxy));
+        Runtime.getRuntime().addShutdownHook(new Thread(proxy::leave));
+        return proxy;
+    }
+
     private static synchronized void reload(FrontendProxy proxy) {
         try {
             proxy.reload(Settings.load());
--- a/src/main/java/quartzspan/localrun/Main.java
+++ b/src/main/java/quartzspan/localrun/Main.java
@@ -19,15 +19,12 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.stream.Stream;
 import mulleinfront.proxy.Frontend;
 import mulleinfront.proxy.Upstream;
 import quartzspan.common.Settings;
 import quartzspan.configuration.Configuration;
-import quartzspan.controlplane.ControlPlane;
-import quartzspan.frontend.FrontendProxy;
 
 /**
  * For the build: starts a core machine, a proxy and a stand-in server on loopback in one process, carries a few requests and
@@ -49,47 +46,67 @@
      * {@code proxy.yaml} and the configuration from {@code configuration.json}. Ends with a status above 0 if the fleet does
      * not carry its requests.
      */
-    public static void main(String[] args) throws Exception {
+    public static void main(String[] args) {
+        int status = 0;
+        try {
+            run(args);
+        } catch (Exception why) {
+            why.printStackTrace();
+            status = 1;
+        }
+        // The programs' threads would keep the process; their shutdown hooks run here, so the archive holds an end as
+        // well.
+        System.exit(status);
+    }
+
+    private static void run(String[] args) throws Exception {
+        if (args.length == 0) {
+            runWithMadeUpSettings();
+            return;
+        }
+        Path from = Path.of(args[0]);
+        carryRequests(
+                Settings.parse(Files.readString(from.resolve("core.yaml"))),
+                Settings.parse(Files.readString(from.resolve("proxy.yaml"))),
+                Files.readString(from.resolve("configuration.json")));
+    }
+
+    private static void runWithMadeUpSettings() throws Exception {
         Path folder = Files.createTempDirectory("local-run");
+        int[] ports = ports(4);
+        String coreSettings = settings(
+                "core",
+                "127.0.0.1",
+                "control_plane: \"127.0.0.1:" + ports[0] + "\"",
+                ports[1],
+                ports[0],
+                "\"" + folder + "\"");
+        String proxySettings = settings(
+                "proxy",
+                "127.0.0.2",
+                "frontend: \"127.0.0.2:" + ports[2] + "\"\n  readiness: \"127.0.0.2:" + ports[3] + "\"",
+                ports[1],
+                ports[0],
+                "null");
         try {
-            if (args.length == 0) {
-                int[] ports = ports(5);
-                // A machine's internal port is the same everywhere; two processes on one address need two.
-                carryRequests(
-                        Settings.parse(settings(
-                                "core",
-                                "control_plane: \"127.0.0.1:" + ports[0] + "\"",
-                                ports[1],
-                                ports[0],
-                                "\"" + folder + "\"")),
-                        Settings.parse(settings(
-                                "proxy",
-                                "frontend: \"127.0.0.1:" + ports[2] + "\"\n  readiness: \"127.0.0.1:" + ports[3] + "\"",
-                                ports[4],
-                                ports[0],
-                                "null")),
-                        CONFIGURATION);
-            } else {
-                Path from = Path.of(args[0]);
-                carryRequests(
-                        Settings.parse(Files.readString(from.resolve("core.yaml"))),
-                        Settings.parse(Files.readString(from.resolve("proxy.yaml"))),
-                        Files.readString(from.resolve("configuration.json")));
-            }
+            carryRequests(Settings.parse(coreSettings), Settings.parse(proxySettings), CONFIGURATION);
         } finally {
-            try (Stream<Path> all = Files.walk(folder)) {
-                all.sorted(Comparator.reverseOrder()).forEach(p -> p.toFile().delete());
-            }
+            deleteAtExit(folder);
+        }
+    }
+
+    /** Files are deleted in the opposite order, after the shutdown hooks that stop their writer. */
+    private static void deleteAtExit(Path folder) throws IOException {
+        try (Stream<Path> all = Files.walk(folder)) {
+            all.sorted().forEach(file -> file.toFile().deleteOnExit());
         }
-        System.exit(0);
     }
 
     private static void carryRequests(Settings core, Settings proxy, String config) throws Exception {
         InetSocketAddress control = core.listens("control_plane");
         InetSocketAddress front = proxy.listens("frontend");
-        ControlPlane house = ControlPlane.start(core);
-        FrontendProxy frontend = FrontendProxy.start(
-                proxy, core.internal().getHostString() + ':' + core.internal().getPort());
+        quartzspan.controlplane.Main.run(core);
+        quartzspan.frontend.Main.run(proxy);
         int server = server();
         long base = Configuration.read(
                         body(until(() -> call(control, "GET /quartzspan/Configuration.Describe", "", ""), " 200 ")))
@@ -119,17 +136,15 @@
                         base,
                         Configuration.read(config.getBytes(StandardCharsets.UTF_8))
                                 .version()) + " in force");
-        frontend.stop();
-        house.stop();
     }
 
     private static byte[] body(String answer) {
         return answer.substring(answer.indexOf("\r\n\r\n") + 4).getBytes(StandardCharsets.UTF_8);
     }
 
-    private static String settings(String name, String listen, int internal, int seed, String folder) {
+    private static String settings(String name, String address, String listen, int internal, int seed, String folder) {
         return "node_name: \"" + name
-                + "\"\nip_address: \"127.0.0.1\"\nzone: \"z\"\nzones:\n  z: \"r\"\nlisten_addresses:\n  "
+                + "\"\nip_address: \"" + address + "\"\nzone: \"z\"\nzones:\n  z: \"r\"\nlisten_addresses:\n  "
                 + listen + "\ninternal_ports:\n  - " + internal + "\n  - " + internal
                 + "\nseed_nodes:\n  - \"127.0.0.1:" + seed
                 + "\"\nbootstrap: true\nlimits:\n  memory_mb: 256\n  file_descriptors: 1024\ndata_directory: " + folder
