Ballots and name ranking without code that the JVM builds at each start

Cause, by the class-load log of a core machine's start on main: a ballot's record equality and hash define 22 hidden method-handle classes, and composed comparators (Ballot, Registry.few) three lambda classes, before the machine listens; the class-data archive can hold none of them.

--- a/src/main/java/quartzspan/registry/Registry.java
+++ b/src/main/java/quartzspan/registry/Registry.java
@@ -272,6 +272,7 @@
      */
     public static List<String> few(String self, List<String> names, int count) {
         Hasher64 hasher = Hashing.xxh3_64();
+        /** A name with the hash that orders it. */
         record Ranked(String name, long hash) {}
         List<Ranked> ranked = new ArrayList<>(names.size());
         for (String name : names) {
@@ -279,7 +280,11 @@
                 ranked.add(new Ranked(name, hasher.hashLongLongToLong(self.hashCode(), name.hashCode())));
             }
         }
-        Comparator<Ranked> order = Comparator.comparingLong(Ranked::hash).thenComparing(Ranked::name);
+        // One lambda: composed comparators are built by the JVM at every start, for the class-data archive can't hold
+        // them.
+        Comparator<Ranked> order = (one, other) -> one.hash() != other.hash()
+                ? Long.compare(one.hash(), other.hash())
+                : one.name().compareTo(other.name());
         if (count == 1) {
             return ranked.stream().min(order).map(Ranked::name).stream().toList();
         }
--- a/src/main/java/quartzspan/replication/Ballot.java
+++ b/src/main/java/quartzspan/replication/Ballot.java
@@ -1,7 +1,5 @@
 package quartzspan.replication;
 
-import java.util.Comparator;
-
 /**
  * Identifies one candidacy. Ballots are totally ordered by number, then candidate, then attempt; two candidacies never share
  * one, not even where a candidate has lost its disk and counts from an earlier number again.
@@ -16,15 +14,29 @@
     /** The ballot of the founding view, which nobody stood for. */
     public static final Ballot FOUNDING = new Ballot(0, "", 0);
 
-    private static final Comparator<Ballot> ORDER = Comparator.comparingLong(Ballot::number)
-            .thenComparing(Ballot::candidate)
-            .thenComparingLong(Ballot::attempt);
     private static final String SEPARATOR = "/";
     private static final int FIELDS = 3;
 
     @Override
     public int compareTo(Ballot other) {
-        return ORDER.compare(this, other);
+        if (number != other.number) {
+            return Long.compare(number, other.number);
+        }
+        int byCandidate = candidate.compareTo(other.candidate);
+        return byCandidate != 0 ? byCandidate : Long.compare(attempt, other.attempt);
+    }
+
+    // Written out, as is the order: what a record brings, and composed comparators, are built by the JVM at their first
+    // use,
+    // which is during every start.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Ballot ballot && compareTo(ballot) == 0;
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * (31 * Long.hashCode(number) + candidate.hashCode()) + Long.hashCode(attempt);
     }
 
     /** Whether this ballot is higher than the other. */
