Proxies: an answer's freshness counts as soon as the state it speaks of is held

The claim holds for whoever holds that state or a later one, so it is kept until then. Readiness is looked at with each message, not only with each tick.

--- a/src/main/java/quartzspan/frontend/FrontendProxy.java
+++ b/src/main/java/quartzspan/frontend/FrontendProxy.java
@@ -324,10 +324,7 @@
             gossip.onTick(now, null);
             registry.tidy(now);
             transport.tidy(10_000);
-            if (!ready && fresh()) {
-                ready = true;
-                LOG.info("ready with version {}", configuration().version());
-            }
+            becomeReady();
         } catch (RuntimeException e) {
             LOG.error("a turn failed", e);
         }
@@ -351,6 +348,14 @@
             services = configuration().services();
             registry.servers().forEach(this::learn);
         }
+        becomeReady();
+    }
+
+    private void becomeReady() {
+        if (!ready && fresh()) {
+            ready = true;
+            LOG.info("ready with version {}", configuration().version());
+        }
     }
 
     private void learn(RegistryEntry entry) {
--- a/src/main/java/quartzspan/registry/Registry.java
+++ b/src/main/java/quartzspan/registry/Registry.java
@@ -2,6 +2,7 @@
 
 import com.dynatrace.hash4j.hashing.Hasher64;
 import com.dynatrace.hash4j.hashing.Hashing;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.EnumMap;
@@ -18,6 +19,8 @@
 public final class Registry {
     /** Buckets by which entries are compared: what differs is sent a bucket at a time. */
     static final int BUCKETS = 32;
+
+    private static final int MAX_CLAIMS = 16;
     /** How long what is gone is kept in mind, so that an old word does not bring it back. */
     private static final long FORGET_MS = 120_000;
 
@@ -35,6 +38,11 @@
     private final StateFollower states = new StateFollower();
     /** The latest time at which what is held here was surely the newest. */
     private long freshAt = Long.MIN_VALUE / 2;
+    /** Claims about states that are not held here yet. */
+    private final ArrayDeque<Claim> claims = new ArrayDeque<>();
+
+    /** The state at an index was surely the newest at a time: whoever holds it or a later one is as fresh as that. */
+    private record Claim(long index, long at) {}
 
     /** The entries of one subject; lists derived from them are kept until the next change. */
     private static final class Shelf {
@@ -179,6 +187,12 @@
 
     /** When the state held here was last surely the newest. */
     public long freshAt() {
+        for (Claim claim : claims) {
+            if (claim.index() <= states.index()) {
+                fresh(claim.at());
+            }
+        }
+        claims.removeIf(claim -> claim.index() <= states.index());
         return freshAt;
     }
 
@@ -187,7 +201,8 @@
     }
 
     private long age(long now) {
-        return freshAt < 0 && freshAt < now - Integer.MAX_VALUE ? -1 : now - freshAt;
+        long at = freshAt();
+        return at < 0 && at < now - Integer.MAX_VALUE ? -1 : now - at;
     }
 
     /** A question that names what is known here; {@code full}: bucket by bucket, else by one digest of all. */
@@ -246,8 +261,11 @@
             }
         }
         // Its state was the newest so long before it answered, and it answered after it was asked.
-        if (in.kind() == GossipMessage.Kind.ANSWER && in.ageMs() >= 0 && states.index() >= in.stateIndex()) {
-            fresh(askedAt - in.ageMs());
+        if (in.kind() == GossipMessage.Kind.ANSWER && in.ageMs() >= 0) {
+            claims.add(new Claim(in.stateIndex(), askedAt - in.ageMs()));
+            if (claims.size() > MAX_CLAIMS) {
+                claims.poll();
+            }
         }
         return new News(news, newer);
     }
