Kept connections: one send for each request, and what a stale one teaches

Causes, by tests on loopback: - An answer that came before its request was written whole (a refusal of a large body) closed the connection; the failed write's listener then opened a second connection for the same attempt, on which it could be written again (RaceTest/ResendsTest.anAnswerBeforeTheRequestIsReadIsTheAnswer). - A connection that came up after the deadline, as after a freeze, was written to with X-Deadline-Ms 1 (RaceTest.aRequestWhoseTimePassedWhileTheProcess- StoodStillIsNotWritten). - A server of other weights (421) let a route with max_attempts 1 go on to a second server (ResendsTest.aRequestGoesToNoMoreServersThanItsRouteAllows). - Keep-Alive of servers was not read (aConnectionIsNotKeptForLonger...). - A read that met a forgotten connection was refused when all servers had forgotten theirs, and the reset counted against the server (aReadGoesOn...). - The answer to a HEAD was waited for as if it had a body (headsOfAnswers...).

Requests that run once now stay at half of the idleness that was lately stale (IdleLimit), a second send to one server takes a connection of its own. The client proxy in service calls start() as before and keeps its limit. Settled as right already: resets at every byte of an answer, pipelining, a client that leaves, a silent server (504), reused addresses, half requests.

Not run yet at this commit: the whole of `mvn verify`, and the old code against each test one by one (the stated reds were seen for reads, HEAD and the early answer while writing; the others by reading the code).

--- a/src/main/java/mulleinfront/proxy/Framing.java
+++ b/src/main/java/mulleinfront/proxy/Framing.java
@@ -116,6 +116,17 @@
         return number(headers.get(HttpHeaderNames.CONTENT_LENGTH)) > most;
     }
 
+    /** The idle time that a Keep-Alive header grants, in whole seconds; -1 if there is none. */
+    static long keepAliveSeconds(HttpHeaders headers) {
+        for (String parameter : headers.get("Keep-Alive", "").split(",")) {
+            String[] parts = parameter.trim().split("=", 2);
+            if (parts.length == 2 && parts[0].trim().equalsIgnoreCase("timeout")) {
+                return number(parts[1].trim());
+            }
+        }
+        return -1;
+    }
+
     /** A number of digits alone; -1 if it is none: no sign, no fraction, no list, nothing that overflows. */
     public static long number(String text) {
         if (text == null
--- /dev/null
+++ b/src/main/java/mulleinfront/proxy/IdleLimit.java
@@ -0,0 +1,49 @@
+package mulleinfront.proxy;
+
+/**
+ * How long a connection to a server may have been idle and still be used. A server may forget idle connections sooner than
+ * it says, and tell nobody: the next request on such a connection is reset, and may have run for all that is known. The
+ * limit is cut when that happens and grows again while it does not. Times are nanoseconds.
+ */
+final class IdleLimit {
+    private static final long LEAST_NANOS = 100_000_000;
+    private static final double CUT = 0.8;
+    private static final double GROW = 1.1;
+    /** Requests that may run once do not try out longer idleness so soon after a stale connection. */
+    private static final long HOLD_NANOS = 5_000_000_000L;
+
+    private final long mostNanos;
+    private long nanos;
+    private long staleAt;
+
+    IdleLimit(long mostNanos) {
+        this.mostNanos = mostNanos;
+        this.nanos = mostNanos;
+    }
+
+    /** For requests that may be sent again. */
+    long nanos() {
+        return nanos;
+    }
+
+    /** For requests that are lost with their connection: well below what has lately been too long. */
+    long cautiousNanos() {
+        return nanos == mostNanos ? nanos : nanos / 2;
+    }
+
+    /** A connection was stale after this idleness. */
+    void stale(long now, long idleFor) {
+        if (idleFor > LEAST_NANOS) {
+            staleAt = now;
+            nanos = Math.min(nanos, Math.max(LEAST_NANOS, (long) (CUT * idleFor)));
+        }
+    }
+
+    /** A connection was still good after this idleness; {@code cautious} as it was chosen. */
+    void good(long now, long idleFor, boolean cautious) {
+        boolean held = cautious && now - staleAt < HOLD_NANOS;
+        if (!held && idleFor > (cautious ? cautiousNanos() : nanos) / 2) {
+            nanos = Math.min(mostNanos, (long) (GROW * nanos));
+        }
+    }
+}
--- a/src/main/java/mulleinfront/proxy/Upstream.java
+++ b/src/main/java/mulleinfront/proxy/Upstream.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
@@ -50,16 +51,11 @@
     /** Fresh connections to one attempt, as long as they are reset before a request is written whole. */
     private static final int MOST_FRESH = 3;
     /**
-     * A host may close sooner than the settings say and not tell: a reset this soon after a request was
-     * written to a connection that had been idle for at least so long. Then less idleness is allowed, and
-     * slowly more again while it does no harm.
+     * A connection that is reset this soon after a request was written to it had been stale: its host forgot it while it
+     * was idle, and did not tell.
      */
     private static final long STALE_NANOS = 20_000_000;
 
-    private static final long LEAST_IDLE_NANOS = 100_000_000;
-    private static final double IDLE_CUT = 0.8;
-    private static final double IDLE_GROW = 1.1;
-
     /** Buffers count as heap, which is bounded once and for all, and need no pool at this traffic. */
     public static final UnpooledByteBufAllocator BUFFERS = new UnpooledByteBufAllocator(false);
 
@@ -76,8 +72,7 @@
 
     private final EventLoop loop;
     private final Bootstrap bootstrap;
-    private final long mostIdleNanos;
-    private long idleNanos;
+    private final IdleLimit idleLimit;
     private final int mostConnections;
     /** Idle connections to all hosts, the longest idle first. */
     private final LinkedHashSet<Connection> idle = new LinkedHashSet<>();
@@ -87,8 +82,7 @@
     public Upstream(EventLoop loop, long dialTimeoutUs, long connIdleUs, int mostConnections) {
         this.loop = loop;
         this.mostConnections = mostConnections;
-        this.mostIdleNanos = (long) (connIdleUs * 1000 * IDLE_PART);
-        this.idleNanos = mostIdleNanos;
+        this.idleLimit = new IdleLimit((long) (connIdleUs * 1000 * IDLE_PART));
         this.bootstrap = new Bootstrap()
                 .group(loop)
                 .option(ChannelOption.ALLOCATOR, BUFFERS)
@@ -100,10 +94,8 @@
     public void begin() {
         loop.scheduleWithFixedDelay(
                 () -> {
-                    long before = System.nanoTime() - idleNanos;
-                    for (Connection c; !idle.isEmpty() && (c = idle.iterator().next()).idleAt - before < 0; ) {
-                        c.close();
-                    }
+                    long now = System.nanoTime();
+                    idle.stream().filter(c -> c.idleTooLong(now)).toList().forEach(Connection::close);
                 },
                 SWEEP_MS,
                 SWEEP_MS,
@@ -207,28 +199,43 @@
         }
     }
 
-    /** The last used of the idle connections that have rested and show nothing; null if there is none. */
-    private Connection rested(Host host) {
+    /** Which connections a request may be written to. */
+    public enum Reuse {
+        /** Any that is at hand. */
+        ANY,
+        /** One that has hardly been idle, else a new one: the request is lost if its connection turns out to be stale. */
+        RECENT,
+        /** A new one: nothing that was asked for before can be answered on it. */
+        NONE
+    }
+
+    /** The last used of the idle connections that have rested and show nothing; null if none will do. */
+    private Connection rested(Host host, Reuse reuse) {
+        if (reuse == Reuse.NONE) {
+            return null;
+        }
         long now = System.nanoTime();
+        long limit = reuse == Reuse.RECENT ? idleLimit.cautiousNanos() : idleLimit.nanos();
+        Connection older = null;
         for (Connection c : List.copyOf(host.idle)) {
-            if (now - c.idleAt > REST_NANOS) {
-                if (now - c.idleAt <= idleNanos && c.channel.untouched()) {
-                    c.leaveIdle();
-                    return c;
-                }
+            long idleFor = now - c.idleAt;
+            if (idleFor <= REST_NANOS) {
+                continue;
+            }
+            if (c.idleTooLong(now) || !c.channel.untouched()) {
                 c.close();
+            } else if (idleFor <= limit) {
+                c.leaveIdle();
+                return c;
+            } else if (older == null) {
+                older = c;
             }
         }
-        return null;
-    }
-
-    /** What a reused connection taught: it was stale after this idleness, or still good. */
-    private void learnIdle(long idleFor, boolean stale) {
-        if (stale && idleFor > LEAST_IDLE_NANOS) {
-            idleNanos = Math.min(idleNanos, Math.max(LEAST_IDLE_NANOS, (long) (IDLE_CUT * idleFor)));
-        } else if (!stale && idleFor > idleNanos / 2) {
-            idleNanos = Math.min(mostIdleNanos, (long) (IDLE_GROW * idleNanos));
+        if (older != null && host.made >= host.most) {
+            older.leaveIdle();
+            return older;
         }
+        return null;
     }
 
     /** One request written to one server, up to its one end. */
@@ -244,6 +251,8 @@
         private Connection connection;
         private ChannelFuture written;
         private int fresh;
+        private boolean cautious;
+        private boolean stale;
         private long idleFor;
         private long writtenAt;
         private boolean over;
@@ -260,7 +269,13 @@
 
         /** The end may be told before this returns. */
         public void start() {
-            Connection reused = rested(host);
+            start(Reuse.ANY);
+        }
+
+        /** The same, with a say in which connection is used. */
+        public void start(Reuse reuse) {
+            cautious = reuse == Reuse.RECENT;
+            Connection reused = rested(host, reuse);
             if (reused != null) {
                 idleFor = System.nanoTime() - reused.idleAt;
                 write(reused, true);
@@ -312,22 +327,24 @@
 
         /**
          * The one place where a request goes out. While the connection came up the host may have been told
-         * to drain, or the request may have ended: then nothing is written, and that is known. A connection
-         * that does not take the whole of it says little of the host: a fresh one is tried.
+         * to drain, the request may have ended, or its time may have passed if this process stood still: then nothing is
+         * written, and that is known. A connection that does not take the whole of it says little of the host: a fresh one
+         * is tried.
          */
         private void write(Connection c, boolean reused) {
             connection = c;
             connecting = null;
-            if (!host.ready || !wanted.getAsBoolean()) {
+            writtenAt = System.nanoTime();
+            long leftNanos = endNanos - writtenAt;
+            if (!host.ready || !wanted.getAsBoolean() || leftNanos <= 0) {
                 finish(Outcome.IGNORED, null);
                 return;
             }
             c.current = this;
-            long leftMs = Math.max(1, (endNanos - System.nanoTime()) / 1_000_000);
-            writtenAt = System.nanoTime();
-            written = c.channel.writeAndFlush(call.encode(leftMs));
+            written = c.channel.writeAndFlush(call.encode(Math.max(1, leftNanos / 1_000_000)));
             written.addListener(f -> {
-                if (f.isSuccess() || over) {
+                boolean answered = c.current != this;
+                if (f.isSuccess() || over || answered) {
                     return;
                 }
                 if (reused || fresh < MOST_FRESH) {
@@ -347,6 +364,15 @@
             }
         }
 
+        private boolean forHead() {
+            return call.method().equals("HEAD");
+        }
+
+        /** Whether its connection, which had been kept, was reset at once: its host had forgotten it while it was idle. */
+        public boolean stale() {
+            return stale;
+        }
+
         /** Whether the whole request has gone out. */
         public boolean sent() {
             return written != null && written.isSuccess();
@@ -364,12 +390,20 @@
 
         /** The connection is gone. Only if the write did not reach the last byte has it surely not run. */
         private void broken() {
-            if (idleFor > 0) {
-                learnIdle(idleFor, System.nanoTime() - writtenAt < STALE_NANOS);
-            }
+            stale = idleFor > 0 && System.nanoTime() - writtenAt < STALE_NANOS;
+            learnIdle();
             finish(written.isSuccess() ? Outcome.RESET : Outcome.CONNECT_ERROR, null);
         }
 
+        /** What a reused connection taught: it had been idle for too long, or not. */
+        private void learnIdle() {
+            if (stale) {
+                idleLimit.stale(System.nanoTime(), idleFor);
+            } else if (idleFor > 0) {
+                idleLimit.good(System.nanoTime(), idleFor, cautious);
+            }
+        }
+
         /** Whether something is there that would not have this connection: then the host is not away. */
         private static boolean resetAtOnce(Throwable cause) {
             return cause instanceof SocketException
@@ -418,6 +452,9 @@
         private final ByteBuf body = BUFFERS.buffer();
         private Attempt current;
         private long idleAt;
+        /** How long it may be idle by its host's word. */
+        private long keepNanos = Long.MAX_VALUE;
+
         private HttpResponse head;
         private int interim;
         private boolean reusable = true;
@@ -439,6 +476,11 @@
                     super.channelRead(ctx, in);
                 }
             }
+
+            @Override
+            protected boolean isContentAlwaysEmpty(HttpMessage answer) {
+                return current != null && current.forHead() || super.isContentAlwaysEmpty(answer);
+            }
         };
 
         Connection(Host host) {
@@ -460,6 +502,10 @@
             }
         }
 
+        boolean idleTooLong(long now) {
+            return now - idleAt > Math.min(keepNanos, idleLimit.nanos());
+        }
+
         void close() {
             leaveIdle();
             channel.close();
@@ -517,7 +563,7 @@
             head = response;
             int status = response.status().code();
             boolean interimToo = status < 200 && status != 101 && ++interim <= MOST_INTERIM;
-            boolean stated = Framing.statesLength(response.headers());
+            boolean stated = current.forHead() || Framing.statesLength(response.headers());
             boolean good = status >= 200 && status < 300;
             if (!Framing.sound(response) || status < 200 && !interimToo || good && !stated) {
                 spoilt();
@@ -553,6 +599,8 @@
         private void whole() {
             outcome = current.reading.outcome(head);
             reusable = HttpUtil.isKeepAlive(head) && current.written.isSuccess();
+            long keepS = Framing.keepAliveSeconds(head.headers());
+            keepNanos = keepS < 0 ? Long.MAX_VALUE : (long) (IDLE_PART * 1e9 * keepS);
             if (outcome == Outcome.OK || current.reading.whole()) {
                 byte[] bytes = new byte[body.readableBytes()];
                 body.readBytes(bytes);
@@ -589,9 +637,7 @@
                 channel.close();
             }
             if (ended != null) {
-                if (ended.idleFor > 0) {
-                    learnIdle(ended.idleFor, false);
-                }
+                ended.learnIdle();
                 ended.connection = null;
                 ended.finish(how, what);
             }
--- a/src/main/java/quartzspan/frontend/ProxiedRequest.java
+++ b/src/main/java/quartzspan/frontend/ProxiedRequest.java
@@ -37,6 +37,11 @@
     /** Tokens that are worth a move to or from a store. */
     private static final long WORTH_MOVING = 150;
 
+    /** Sends of one request, also to one server. */
+    private static final int MOST_SENDS = 3;
+    /** Servers tried, also those that could not be reached. */
+    private static final int MOST_TRIED = 8;
+
     private static final Answer NOTHING = new Answer(new byte[0], null, null);
 
     private final FrontendProxy proxy;
@@ -54,6 +59,9 @@
     /** Servers that it reached. */
     private final Set<String> reached = new HashSet<>();
 
+    /** Where it goes next whatever the placement says; null if the placement is to say. */
+    private String sameServer;
+
     private int sends;
     private boolean mayHaveRun;
     private boolean begun;
@@ -81,7 +89,7 @@
 
     private void next() {
         long left = endAt - proxy.now();
-        String to = left <= 0 ? null : proxy.placement().pick(proxy.now(), job, tried);
+        String to = left <= 0 ? null : target();
         Upstream.Host host = to == null ? null : proxy.host(to);
         if (host == null) {
             refuse();
@@ -100,7 +108,24 @@
                         () -> !over,
                         this,
                         this::ended);
-        attempt.start();
+        attempt.start(reuse(to));
+    }
+
+    /** The server that is to get it: the one that it goes to again, or a further one if the route allows that. */
+    private String target() {
+        String again = sameServer;
+        sameServer = null;
+        if (again != null && proxy.host(again) != null) {
+            return again;
+        }
+        return reached.size() < route.maxAttempts() ? proxy.placement().pick(proxy.now(), job, tried) : null;
+    }
+
+    /** Two sends of one request bear one id, so that only their connections tell their answers apart. */
+    private Upstream.Reuse reuse(String to) {
+        return reached.contains(to)
+                ? Upstream.Reuse.NONE
+                : route.repeatable() ? Upstream.Reuse.ANY : Upstream.Reuse.RECENT;
     }
 
     /**
@@ -198,8 +223,12 @@
         for (int i = 0; i < parts.length; i++) {
             proxy.promptIndex().saw(server, parts[i], (int) prompt.tokens()[i]);
         }
-        HttpResponse out = new DefaultHttpResponse(HttpVersion.HTTP_1_1, answer.status(), passedOn(answer.headers()));
-        client.begin(out);
+        HttpHeaders headers = passedOn(answer.headers());
+        if (call.method().equals("HEAD")) {
+            // There are no chunks, not even a last one.
+            headers.remove(HttpHeaderNames.TRANSFER_ENCODING);
+        }
+        client.begin(new DefaultHttpResponse(HttpVersion.HTTP_1_1, answer.status(), headers));
         return true;
     }
 
@@ -225,7 +254,9 @@
     }
 
     private void ended(Outcome outcome, Answer answer) {
-        proxy.placement().ended(proxy.now(), server, job, outcome);
+        boolean stale = attempt.stale();
+        // That a server forgets idle connections does not make it a failing one.
+        proxy.placement().ended(proxy.now(), server, job, stale ? Outcome.IGNORED : outcome);
         attempt = null;
         if (over) {
             return;
@@ -247,18 +278,21 @@
             sends++;
         }
         mayHaveRun |= !outcome.neverRan();
+        if (stale && sends < MOST_SENDS) {
+            sameServer = server;
+        }
         if (head != null && head.status().code() == 421) {
             if (server.equals(head.headers().get("X-Instance-Id"))) {
-                tried.remove(server);
+                // The same server again is no further server: it has only changed its weights.
+                sameServer = sends < MOST_SENDS ? server : null;
                 proxy.reweighed(server, call.headers().get("X-Model"));
             } else {
                 proxy.placement().moved(proxy.now(), server);
             }
         }
-        // The same server again is no further server: it has only changed its weights.
         boolean again = (!mayHaveRun || route.repeatable())
-                && (tried.contains(server) ? reached.size() < route.maxAttempts() : sends < 3)
-                && tried.size() < 8
+                && (sameServer != null || reached.size() < route.maxAttempts())
+                && tried.size() < MOST_TRIED
                 && (!arrived || proxy.placement().mayRepeat());
         if (outcome == Outcome.FAILED && answer != null && (route.repeatable() || !promisesNotRun(head.status()))) {
             // The server's own word: it ran, and this is what came of it.
--- a/src/test/java/mulleinfront/proxy/Peers.java
+++ b/src/test/java/mulleinfront/proxy/Peers.java
@@ -58,6 +58,18 @@
 
     /** Reads one message with a Content-Length or none; an end of the stream is an {@link IOException}. */
     public static Message read(InputStream in) throws IOException {
+        Message bare = readHead(in);
+        String stated = bare.header("content-length");
+        int length = stated == null ? 0 : Integer.parseInt(stated);
+        byte[] body = in.readNBytes(length);
+        if (body.length < length) {
+            throw new EOFException("ended in the body");
+        }
+        return new Message(bare.first(), bare.headers(), body);
+    }
+
+    /** Reads a head, and nothing after it. */
+    public static Message readHead(InputStream in) throws IOException {
         ByteArrayOutputStream head = new ByteArrayOutputStream();
         while (!head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
             int b = in.read();
@@ -68,14 +80,7 @@
         }
         List<String> lines =
                 List.of(head.toString(StandardCharsets.ISO_8859_1).strip().split("\r\n"));
-        Message bare = new Message(lines.get(0), lines.subList(1, lines.size()), new byte[0]);
-        String stated = bare.header("content-length");
-        int length = stated == null ? 0 : Integer.parseInt(stated);
-        byte[] body = in.readNBytes(length);
-        if (body.length < length) {
-            throw new EOFException("ended in the body");
-        }
-        return new Message(bare.first(), bare.headers(), body);
+        return new Message(lines.get(0), lines.subList(1, lines.size()), new byte[0]);
     }
 
     /** A listening peer: each message that comes is noted, then the script deals with it. */
@@ -211,6 +216,11 @@
             return Peers.read(in);
         }
 
+        /** The head of an answer, whose body is not read. */
+        public Message readHead() throws IOException {
+            return Peers.readHead(in);
+        }
+
         /** Whether the proxy has closed, with nothing more sent. */
         public boolean closed() throws IOException {
             try {
--- a/src/test/java/mulleinfront/proxy/RaceTest.java
+++ b/src/test/java/mulleinfront/proxy/RaceTest.java
@@ -210,6 +210,26 @@
         assertEquals(1, server.connections.size(), "its connections stay");
     }
 
+    @Test
+    void aRequestWhoseTimePassedWhileTheProcessStoodStillIsNotWritten() throws Exception {
+        // As after a freeze: the connection is up before the timer is looked at, and the deadline is long past.
+        try (Peers.Deaf deaf = new Peers.Deaf()) {
+            start("", Peers.host("s", deaf.address(), "in_service"));
+            module.onRequest = r -> module.actions.send(r.id(), "s", 700_000);
+            module.onEnd = e -> module.actions.refuse(e.requestId(), 0);
+            Client client = client().unsafe("id1", 20_000);
+            // Once this is answered, the connection has been asked for.
+            client().write(READY).read();
+            CountDownLatch thaw = stand(client(), () -> {});
+            // The connection comes up when its opening is repeated, after a second.
+            deaf.hear();
+            thaw.countDown();
+            assertTrue(Peers.next(module.ends, "the attempt's end").outcome().neverRan());
+            assertEquals(503, client.read().status());
+            assertTrue(deaf.silent(), "nothing was written");
+        }
+    }
+
     private void move(String address) throws Exception {
         proxy.reload(Config.parse(Peers.config(0, address, "", "null").getBytes(StandardCharsets.UTF_8)));
     }
--- a/src/test/java/quartzspan/frontend/FrontendRig.java
+++ b/src/test/java/quartzspan/frontend/FrontendRig.java
@@ -154,16 +154,26 @@
                 script.accept(seen);
             }
         }));
-        String heartbeat = "{\"service\":\"s" + service + "\",\"address\":\"" + server.address()
-                + "\",\"zone\":\"z\",\"state\":\"ready\",\"call_count\":1}";
-        untilStatus(200, controlPort, "POST /quartzspan/Instances.Heartbeat/" + id, "", heartbeat);
+        listed(id, server.address());
         while (server.seen.isEmpty()) {
             call(frontPort, "POST /once" + service + "/warm", "X-Attempt-Id: warm\r\n", "");
         }
         server.seen.clear();
+        server.connections.clear();
         return server;
     }
 
+    /** Makes a server known that a test plays by itself. */
+    void listen(String id, ServerSocket socket) throws Exception {
+        listed(id, "127.0.0.1:" + socket.getLocalPort());
+    }
+
+    private void listed(String id, String address) throws IOException {
+        String heartbeat = "{\"service\":\"s" + service + "\",\"address\":\"" + address
+                + "\",\"zone\":\"z\",\"state\":\"ready\",\"call_count\":1}";
+        untilStatus(200, controlPort, "POST /quartzspan/Instances.Heartbeat/" + id, "", heartbeat);
+    }
+
     /** A client's connection to the proxy. */
     Client client() throws Exception {
         return keep(new Client(frontPort));
@@ -211,6 +221,14 @@
         return one;
     }
 
+    /** Lets the connections that the proxy keeps rest: it does not use them again right after an answer. */
+    static void rest() throws IOException {
+        long until = System.nanoTime() + 5_000_000;
+        while (System.nanoTime() < until) {
+            assertEquals(404, call(frontPort, "GET /nowhere", "", "").status());
+        }
+    }
+
     static Seen next(Server server, String what) throws InterruptedException {
         return Peers.next(server.seen, what);
     }
