Transport: the connection accepted last speaks, and an ended life never again

Cause, by tests: messages still unread on an old connection (of the same process, or of one that died before its successor started at the address) were delivered after those of the new one, against the contract of order; a process frozen while its successor started was believed again when it thawed. A connection that brings no valid message displaces none (TransportContractTest.nonsenseCostsItsOwnConnectionOnly).

Also: what could not be written while a peer was away counted against the connection that came up at last, which was then closed at the next send.

Red without the mend: whatAnOldConnectionStillHoldsIsNotReadAfterTheNewOne, aLifeThatAnotherOneFollowedNeverSpeaksAgain (by reading: the old code reads every connection). The MUTE mend has no test of its own yet.

--- /dev/null
+++ b/src/main/java/quartzspan/transport/IncomingConnections.java
@@ -0,0 +1,59 @@
+package quartzspan.transport;
+
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import quartzspan.transport.MessageCodec.Hello;
+
+/**
+ * Which of the connections that a process opened to us speaks for it: the one accepted last. What is still unread on an older
+ * one was written before, by the same life of the process or by one that has ended, and would come out of order. A life that
+ * another one has followed at its address never speaks again, whatever it opens: it may have been frozen meanwhile.
+ */
+final class IncomingConnections {
+    /** Lives remembered for each address. */
+    private static final int MOST_ENDED = 16;
+
+    private static final class Peer {
+        long life;
+        long connection;
+        /** Lives that another one has followed, the last ones of them. */
+        final Set<Long> ended = Collections.newSetFromMap(new LinkedHashMap<>() {
+            private static final long serialVersionUID = 1L;
+
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<Long, Boolean> eldest) {
+                return size() > MOST_ENDED;
+            }
+        });
+    }
+
+    private final Map<String, Peer> peers = new HashMap<>();
+    private long connections;
+
+    /** Number of a connection that is accepted now; later ones have higher numbers. */
+    long accepted() {
+        return ++connections;
+    }
+
+    /** Whether a connection on which a message came speaks for the process at its address. */
+    boolean speaks(Hello from, long connection) {
+        Peer peer = peers.get(from.address());
+        if (peer == null) {
+            peer = new Peer();
+            peer.life = from.life();
+            peers.put(from.address(), peer);
+        }
+        if (connection < peer.connection || peer.ended.contains(from.life())) {
+            return false;
+        }
+        if (peer.life != from.life()) {
+            peer.ended.add(peer.life);
+            peer.life = from.life();
+        }
+        peer.connection = connection;
+        return true;
+    }
+}
--- a/src/main/java/quartzspan/transport/MessageCodec.java
+++ b/src/main/java/quartzspan/transport/MessageCodec.java
@@ -1,5 +1,6 @@
 package quartzspan.transport;
 
+import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.List;
 import org.agrona.ExpandableArrayBuffer;
@@ -32,8 +33,20 @@
 
     private static final int MOST_ENTRIES = 60_000;
 
-    /** Who opened a connection; {@code control} is where it answers servers and operators, empty for proxies. */
-    public record Hello(boolean core, String address, String control, String zone) {}
+    /**
+     * Who opened a connection.
+     *
+     * @param control where it answers servers and operators, empty for proxies
+     * @param life drawn at random at each start of a process, so that its successor at the same address is told from it
+     */
+    public record Hello(boolean core, String address, String control, String zone, long life) {
+        private static final SecureRandom LIVES = new SecureRandom();
+
+        /** A new life at an address. */
+        public Hello(boolean core, String address, String control, String zone) {
+            this(core, address, control, zone, LIVES.nextLong());
+        }
+    }
 
     private MessageCodec() {}
 
@@ -45,6 +58,7 @@
         if (message instanceof Hello h) {
             HelloMessageEncoder e = new HelloMessageEncoder().wrapAndApplyHeader(to, 0, head);
             e.core((short) (h.core() ? 1 : 0))
+                    .life(h.life())
                     .address(h.address())
                     .control(h.control())
                     .zone(h.zone());
@@ -127,7 +141,8 @@
 
     private static Hello hello(HelloMessageDecoder d) {
         boolean core = d.core() == 1;
-        return new Hello(core, d.address(), d.control(), d.zone());
+        long life = d.life();
+        return new Hello(core, d.address(), d.control(), d.zone(), life);
     }
 
     private static ReplicaMessage replicaMessage(ReplicaFrameDecoder d) {
--- a/src/main/java/quartzspan/transport/TcpTransport.java
+++ b/src/main/java/quartzspan/transport/TcpTransport.java
@@ -45,6 +45,7 @@
     private final Receiver receiver;
     private final Map<String, Link> links = new HashMap<>();
     private final Bootstrap out;
+    private final IncomingConnections incoming = new IncomingConnections();
 
     private static final class Link {
         Channel channel;
@@ -107,6 +108,7 @@
 
     /** Reads one connection; whatever is no message of ours ends it. */
     private final class In extends SimpleChannelInboundHandler<ByteBuf> {
+        private final long accepted = incoming.accepted();
         private Hello from;
 
         @Override
@@ -122,6 +124,10 @@
                 from = hello;
                 return;
             }
+            if (!incoming.speaks(from, accepted)) {
+                ctx.close();
+                return;
+            }
             Link link = links.get(from.address());
             if (link != null) {
                 link.writtenAt = 0;
@@ -185,6 +191,8 @@
                 channel.close();
             } else if (done.isSuccess()) {
                 link.up = true;
+                // What could not be written before does not make this connection a mute one.
+                link.writtenAt = now();
                 ChannelWrites.write(channel, MessageCodec.encode(self));
                 for (byte[] b; (b = link.waiting.poll()) != null; ) {
                     ChannelWrites.write(channel, b);
--- a/src/test/java/quartzspan/transport/TransportContractTest.java
+++ b/src/test/java/quartzspan/transport/TransportContractTest.java
@@ -179,4 +179,82 @@
         }
         assertTrue(got != null);
     }
+
+    /** A process that opens connections by itself, and writes frames on them when told. */
+    private static final class RawPeer implements AutoCloseable {
+        private final Socket socket;
+
+        RawPeer(Hello to, Hello self) throws Exception {
+            int port = Integer.parseInt(to.address().substring(to.address().indexOf(':') + 1));
+            socket = new Socket(InetAddress.getLoopbackAddress(), port);
+            socket.setSoTimeout(10_000);
+            write(self);
+        }
+
+        RawPeer write(Object message) throws Exception {
+            byte[] bytes = MessageCodec.encode(message);
+            socket.getOutputStream()
+                    .write(java.nio.ByteBuffer.allocate(bytes.length + 4)
+                            .putInt(bytes.length)
+                            .put(bytes)
+                            .array());
+            return this;
+        }
+
+        boolean closed() throws Exception {
+            try {
+                return socket.getInputStream().read() < 0;
+            } catch (java.net.SocketException reset) {
+                return true;
+            }
+        }
+
+        @Override
+        public void close() throws Exception {
+            socket.close();
+        }
+    }
+
+    private static long nonce(BlockingQueue<Got> at) throws Exception {
+        return ((ReplicaMessage) at.poll(10, TimeUnit.SECONDS).message()).nonce();
+    }
+
+    @Test
+    void whatAnOldConnectionStillHoldsIsNotReadAfterTheNewOne() throws Exception {
+        Hello a = new Hello(true, address(), "c", "z");
+        Hello b = new Hello(true, address(), "c", "z");
+        BlockingQueue<Got> atB = new LinkedBlockingQueue<>();
+        real(b, (from, m) -> atB.add(new Got(from, m)));
+        try (RawPeer old = new RawPeer(b, a).write(message(1, 1))) {
+            assertEquals(1, nonce(atB));
+            try (RawPeer fresh = new RawPeer(b, a).write(message(2, 1))) {
+                assertEquals(2, nonce(atB));
+                old.write(message(3, 1));
+                assertTrue(old.closed());
+                fresh.write(message(4, 1));
+                assertEquals(4, nonce(atB), "and 3 never came");
+            }
+        }
+    }
+
+    @Test
+    void aLifeThatAnotherOneFollowedNeverSpeaksAgain() throws Exception {
+        Hello b = new Hello(true, address(), "c", "z");
+        String at = address();
+        Hello first = new Hello(true, at, "c", "z");
+        Hello second = new Hello(true, at, "c", "z");
+        BlockingQueue<Got> atB = new LinkedBlockingQueue<>();
+        real(b, (from, m) -> atB.add(new Got(from, m)));
+        try (RawPeer frozen = new RawPeer(b, first).write(message(1, 1))) {
+            assertEquals(1, nonce(atB));
+            try (RawPeer successor = new RawPeer(b, second).write(message(2, 1))) {
+                assertEquals(2, nonce(atB));
+                try (RawPeer thawed = new RawPeer(b, first).write(message(3, 1))) {
+                    assertTrue(thawed.closed());
+                }
+                successor.write(message(4, 1));
+                assertEquals(4, nonce(atB), "and 3 never came");
+            }
+        }
+    }
 }
