A frontend proxy reads nothing more once its end is decided

Cause, by reading: when a proxy that was told to end found nothing open, its main thread let the process end while the event loop went on for milliseconds: a request read, or sent on to a server, in them was lost (LOST). The loop now closes idle clients and stops listening and reading before it says so; clients see a connection closed without their request being read, and may ask again.

The client proxy's drain uses the same method in the place of the same steps.

--- a/src/main/java/mulleinfront/proxy/Frontend.java
+++ b/src/main/java/mulleinfront/proxy/Frontend.java
@@ -206,11 +206,7 @@
         loop.schedule(() -> leaving = true, leaveMs, TimeUnit.MILLISECONDS);
         loop.schedule(
                 () -> {
-                    deaf = true;
-                    if (server != null) {
-                        server.close();
-                    }
-                    clients.forEach(c -> c.pipeline().get(Client.class).lastCall());
+                    close();
                     clients.newCloseFuture().addListener((Future<Void> f) -> done.run());
                 },
                 leaveMs + LAST_CALL_MS,
@@ -227,6 +223,15 @@
         leaving = true;
     }
 
+    /** Takes nothing more: stops listening and closes what is idle. The process is about to end. */
+    public void close() {
+        deaf = true;
+        if (server != null) {
+            server.close();
+        }
+        clients.forEach(c -> c.pipeline().get(Client.class).lastCall());
+    }
+
     /** Requests taken and not yet answered, and those being read. */
     public boolean idle() {
         return busyClients == 0 && reading.isEmpty();
--- a/src/main/java/quartzspan/frontend/FrontendProxy.java
+++ b/src/main/java/quartzspan/frontend/FrontendProxy.java
@@ -203,6 +203,8 @@
                                         && open.isEmpty()
                                         && frontend.idle()
                                 || since > graceMs - KILL_MARGIN_MS) {
+                            // From here to the process's end nothing more may be read: it would not be answered.
+                            frontend.close();
                             ended.countDown();
                         }
                     },
--- a/src/test/java/mulleinfront/proxy/FrontendTest.java
+++ b/src/test/java/mulleinfront/proxy/FrontendTest.java
@@ -1,6 +1,7 @@
 package mulleinfront.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -15,6 +16,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 
 /** What clients connect to, by itself. */
@@ -63,4 +65,52 @@
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
         }
     }
+
+    @Test
+    void nothingIsReadAfterTheEndWasDecided() throws Exception {
+        // The process goes on for some milliseconds: what it took in them would be lost.
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        EventLoop loop = group.next();
+        AtomicInteger taken = new AtomicInteger();
+        try {
+            Frontend frontend = loop.submit(() -> new Frontend(
+                            new Frontend.Desk() {
+                                @Override
+                                public long now() {
+                                    return System.nanoTime() / 1000;
+                                }
+
+                                @Override
+                                public void take(Frontend.Client client, HttpRequest in, byte[] body, long at) {
+                                    taken.incrementAndGet();
+                                    client.answer(HttpResponseStatus.OK);
+                                }
+
+                                @Override
+                                public Frontend.Terms terms() {
+                                    return new Frontend.Terms(8, 8_192, 8_192, 30_000, 10_000);
+                                }
+                            },
+                            loop))
+                    .get();
+            loop.submit(() -> frontend.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)))
+                    .get()
+                    .await();
+            try (Peers.Client kept = new Peers.Client(frontend.port())) {
+                String request = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+                assertEquals(200, kept.write(request).read().status());
+                loop.submit(() -> {
+                            // The request is there before the loop reads again.
+                            kept.write(request);
+                            frontend.close();
+                            return null;
+                        })
+                        .get();
+                assertTrue(kept.closed());
+                assertEquals(1, taken.get());
+            }
+        } finally {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+    }
 }
