--- a/src/main/java/quartzspan/transport/MessageCodec.java
+++ b/src/main/java/quartzspan/transport/MessageCodec.java
@@ -1,6 +1,7 @@
 package quartzspan.transport;
 
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.StringJoiner;
 import java.util.TreeMap;
 import org.agrona.ExpandableArrayBuffer;
@@ -34,8 +35,20 @@
     private static final int FLAG_OK = 1;
     private static final int FLAG_BLANK = 2;
 
-    /** Who opened a connection; {@code control} is where it answers servers and operators, empty for proxies. */
-    public record Hello(boolean core, String address, String control, String zone) {}
+    /**
+     * Who opened a connection.
+     *
+     * @param control where it answers servers and operators, empty for proxies
+     * @param life drawn at random at each start of a process, so that its successor at the same address is told from it
+     */
+    public record Hello(boolean core, String address, String control, String zone, long life) {
+        private static final SplittableRandom LIVES = new SplittableRandom();
+
+        /** A new life at an address. */
+        public Hello(boolean core, String address, String control, String zone) {
+            this(core, address, control, zone, LIVES.nextLong());
+        }
+    }
 
     private MessageCodec() {}
 
@@ -47,6 +60,7 @@
         if (message instanceof Hello h) {
             HelloMessageEncoder e = new HelloMessageEncoder().wrapAndApplyHeader(to, 0, head);
             e.core((short) (h.core() ? 1 : 0))
+                    .life(h.life())
                     .address(h.address())
                     .control(h.control())
                     .zone(h.zone());
@@ -98,7 +112,8 @@
 
     private static Hello hello(HelloMessageDecoder d) {
         boolean core = d.core() == 1;
-        return new Hello(core, d.address(), d.control(), d.zone());
+        long life = d.life();
+        return new Hello(core, d.address(), d.control(), d.zone(), life);
     }
 
     private static int encode(ReplicaMessage message, ReplicaFrameEncoder to) {
--- a/src/main/java/quartzspan/transport/TcpTransport.java
+++ b/src/main/java/quartzspan/transport/TcpTransport.java
@@ -49,6 +49,7 @@
     private final Map<String, Link> links = new HashMap<>();
     private final Bootstrap out;
     private final ChannelWrites writes = new ChannelWrites();
+    private final IncomingConnections incoming = new IncomingConnections();
 
     private static final class Link {
         Channel channel;
@@ -111,6 +112,7 @@
 
     /** Reads one connection; whatever is no message of ours ends it. */
     private final class In extends SimpleChannelInboundHandler<ByteBuf> {
+        private final long accepted = incoming.accepted();
         private Hello from;
 
         @Override
@@ -126,6 +128,10 @@
                 from = hello;
                 return;
             }
+            if (!incoming.speaks(from, accepted)) {
+                ctx.close();
+                return;
+            }
             Link link = links.get(from.address());
             if (link != null) {
                 link.writtenAt = 0;
@@ -189,6 +195,8 @@
                 channel.close();
             } else if (done.isSuccess()) {
                 link.up = true;
+                // What could not be written before does not make this connection a mute one.
+                link.writtenAt = now();
                 writes.write(channel, MessageCodec.encode(self));
                 for (byte[] b; (b = link.waiting.poll()) != null; ) {
                     writes.write(channel, b);
