--- /dev/null
+++ b/src/test/java/quartzspan/replication/simulation/ChangeOperation.java
@@ -0,0 +1,54 @@
+package quartzspan.replication.simulation;
+
+import java.nio.charset.StandardCharsets;
+import quartzspan.replication.Change;
+
+/** A change that an operator asks for, and what is known of its fate. */
+final class ChangeOperation {
+    final int id;
+    final long version;
+    final Change change;
+    final boolean valid;
+    /** The newest version of which anybody knew when the change was first sent. */
+    final long floor;
+
+    boolean acknowledged;
+    boolean refused;
+
+    ChangeOperation(int id, long version, Change change, boolean valid, long floor) {
+        this.id = id;
+        this.version = version;
+        this.change = change;
+        this.valid = valid;
+        this.floor = floor;
+    }
+
+    /** The service by which the change is recognised in a configuration. */
+    static String marker(int id) {
+        return "op" + id;
+    }
+
+    static byte[] replacement(int id, long version, String padding) {
+        return ("{\"version\":" + version + ",\"routes\":[],\"services\":[{\"name\":\"" + marker(id)
+                        + "\",\"health_path\":\"/" + padding + "\"}]}")
+                .getBytes(StandardCharsets.UTF_8);
+    }
+
+    static byte[] update(int id, long version) {
+        return ("{\"version\":" + version + ",\"upsert\":{\"services\":[{\"name\":\"" + marker(id) + "\"}]}}")
+                .getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** A route that names a service that is not there. */
+    static byte[] invalid(int id, long version) {
+        return ("{\"version\":" + version + ",\"routes\":[{\"name\":\"r\",\"hostname\":\"h\",\"path_prefix\":\"/\","
+                        + "\"route_type\":\"read_only\",\"timeout_ms\":5,\"service\":\"none\"}],\"services\":[{\"name\":\""
+                        + marker(id) + "\"}]}")
+                .getBytes(StandardCharsets.UTF_8);
+    }
+
+    @Override
+    public String toString() {
+        return "change " + id + " (" + change.kind() + " " + change.base() + " -> " + version + ")";
+    }
+}
--- /dev/null
+++ b/src/test/java/quartzspan/replication/simulation/InvariantChecker.java
@@ -0,0 +1,52 @@
+package quartzspan.replication.simulation;
+
+import static quartzspan.replication.simulation.Violation.require;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+import quartzspan.replication.simulation.Violation.Rule;
+
+/** What must hold at a machine after each of its events. */
+final class InvariantChecker {
+    /** The newest version that came in force, by the ballot under which it did. */
+    private final TreeMap<String, Long> committed = new TreeMap<>(ReplicaAdapter::compareBallots);
+
+    private final Map<String, String> primaryOf = new HashMap<>();
+    private final Map<String, String> viewOf = new HashMap<>();
+
+    /** A state came in force at a machine. */
+    void committed(SimulatedMachine machine, long version) {
+        committed.merge(machine.replica().ballot(), version, Math::max);
+    }
+
+    void check(SimulatedMachine machine) {
+        ReplicaAdapter replica = machine.replica();
+        if (!replica.primary()) {
+            return;
+        }
+        String ballot = replica.ballot();
+        String primary = primaryOf.putIfAbsent(ballot, machine.lifeName());
+        require(
+                primary == null || primary.equals(machine.lifeName()),
+                Rule.ONE_PRIMARY_PER_BALLOT,
+                primary + " and " + machine.lifeName() + " are both primary of ballot " + ballot);
+        String view = viewOf.putIfAbsent(ballot, replica.view());
+        require(
+                view == null || view.equals(replica.view()),
+                Rule.ONE_VIEW_PER_BALLOT,
+                "ballot " + ballot + " has the views " + view + " and " + replica.view());
+        if (primary == null) {
+            long version = replica.inForce().configuration().version();
+            long newest = committed.headMap(ballot).values().stream()
+                    .mapToLong(v -> v)
+                    .max()
+                    .orElse(0);
+            require(
+                    version >= newest,
+                    Rule.PRIMARY_HAS_ALL_COMMITS,
+                    machine.lifeName() + " becomes primary of " + ballot + " with version " + version
+                            + ", in force under a lower ballot was " + newest);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/quartzspan/replication/simulation/ScenarioShrinker.java
@@ -0,0 +1,55 @@
+package quartzspan.replication.simulation;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** Makes a failing scenario smaller: leaves out steps as long as the same rule is still broken. */
+final class ScenarioShrinker {
+    private final Violation.Rule rule;
+    private final long giveUpAt;
+
+    private ScenarioShrinker(Violation.Rule rule, long forMs) {
+        this.rule = rule;
+        this.giveUpAt = System.nanoTime() / 1_000_000 + forMs;
+    }
+
+    static Scenario shrink(Scenario failing, Violation.Rule rule, long forMs) {
+        return new ScenarioShrinker(rule, forMs).shrink(failing);
+    }
+
+    private Scenario shrink(Scenario failing) {
+        Scenario best = failing;
+        int chunk = Math.max(1, best.steps().size() / 2);
+        while (true) {
+            boolean smaller = false;
+            for (int from = 0; from < best.steps().size() && !late(); ) {
+                List<Step> fewer = new ArrayList<>(best.steps());
+                fewer.subList(from, Math.min(fewer.size(), from + chunk)).clear();
+                Scenario candidate = best.with(fewer);
+                if (fails(candidate)) {
+                    best = candidate;
+                    smaller = true;
+                } else {
+                    from += chunk;
+                }
+            }
+            if (late() || chunk == 1 && !smaller) {
+                return best;
+            }
+            chunk = Math.max(1, chunk / 2);
+        }
+    }
+
+    private boolean late() {
+        return System.nanoTime() / 1_000_000 > giveUpAt;
+    }
+
+    private boolean fails(Scenario candidate) {
+        try {
+            new Simulation(candidate, false).run();
+            return false;
+        } catch (Violation violation) {
+            return violation.rule() == rule;
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/quartzspan/replication/simulation/SimulatedDisk.java
@@ -0,0 +1,162 @@
+package quartzspan.replication.simulation;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import quartzspan.common.FleetException;
+import quartzspan.store.Disk;
+
+/**
+ * A disk with a page cache. The death of a process leaves files as they stood; after a loss of power each write since the
+ * file's last sync is there, absent or torn, and a file made since the folder's last sync may be gone.
+ */
+final class SimulatedDisk implements Disk {
+    /** The process that used the disk ended within an operation. */
+    static final class Interrupted extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+
+        Interrupted() {
+            super(null, null, false, false);
+        }
+    }
+
+    /** One change of a file since its last sync, with what it replaced; {@code bytes} is null for a truncation. */
+    private record Unsynced(int at, int lengthBefore, byte[] before, byte[] bytes) {}
+
+    private static final class File {
+        private byte[] data = new byte[64];
+        private int length;
+        private boolean nameSynced;
+        private final List<Unsynced> unsynced = new ArrayList<>();
+
+        private void resize(int to) {
+            if (to > data.length) {
+                data = Arrays.copyOf(data, Math.max(to, 2 * data.length));
+            }
+            if (to > length) {
+                Arrays.fill(data, length, to, (byte) 0);
+            }
+            length = to;
+        }
+
+        private void write(int at, byte[] bytes) {
+            int end = at + bytes.length;
+            byte[] before = at < length ? Arrays.copyOfRange(data, at, Math.min(end, length)) : new byte[0];
+            unsynced.add(new Unsynced(at, length, before, bytes));
+            put(at, bytes);
+        }
+
+        private void put(int at, byte[] bytes) {
+            resize(Math.max(length, at + bytes.length));
+            System.arraycopy(bytes, 0, data, at, bytes.length);
+        }
+
+        private void truncate(int to) {
+            byte[] before = to < length ? Arrays.copyOfRange(data, to, length) : new byte[0];
+            unsynced.add(new Unsynced(to, length, before, null));
+            resize(to);
+        }
+
+        private void undoAll() {
+            for (int i = unsynced.size() - 1; i >= 0; i--) {
+                Unsynced change = unsynced.get(i);
+                if (change.before().length > 0) {
+                    put(change.at(), change.before());
+                }
+                resize(change.lengthBefore());
+            }
+        }
+
+        private void losePower(SplittableRandom random, boolean all) {
+            undoAll();
+            for (Unsynced change : unsynced) {
+                int fate = all ? 0 : random.nextInt(3);
+                if (fate > 0 && change.bytes() == null) {
+                    resize(change.at());
+                } else if (fate == 1) {
+                    put(change.at(), change.bytes());
+                } else if (fate == 2) {
+                    byte[] torn = Arrays.copyOf(change.bytes(), random.nextInt(change.bytes().length + 1));
+                    if (torn.length > 0 && random.nextBoolean()) {
+                        torn[random.nextInt(torn.length)] = 0;
+                    }
+                    put(change.at(), torn);
+                }
+            }
+            unsynced.clear();
+        }
+    }
+
+    private final Map<String, File> files = new TreeMap<>();
+    private int operationsLeft = -1;
+    private boolean full;
+
+    void full(boolean refuses) {
+        full = refuses;
+    }
+
+    /** Lets so many operations pass, then interrupts; negative for no limit. */
+    void interruptAfter(int operations) {
+        operationsLeft = operations;
+    }
+
+    void wipe() {
+        files.clear();
+    }
+
+    void losePower(SplittableRandom random) {
+        boolean all = random.nextInt(3) == 0;
+        files.values().removeIf(file -> !file.nameSynced && random.nextInt(3) == 0);
+        files.values().forEach(file -> file.losePower(random, all));
+    }
+
+    private void operation() {
+        if (operationsLeft == 0) {
+            throw new Interrupted();
+        }
+        if (operationsLeft > 0) {
+            operationsLeft--;
+        }
+    }
+
+    @Override
+    public byte[] read(String name) {
+        File file = files.get(name);
+        return file == null ? null : Arrays.copyOf(file.data, file.length);
+    }
+
+    private File file(String name) {
+        return files.computeIfAbsent(name, n -> new File());
+    }
+
+    @Override
+    public void write(String name, long at, byte[] bytes) {
+        operation();
+        if (full) {
+            file(name).write((int) at, Arrays.copyOf(bytes, bytes.length / 2));
+            throw new FleetException(FleetException.Code.STORE_REFUSES, "no space left", "free space");
+        }
+        file(name).write((int) at, bytes);
+    }
+
+    @Override
+    public void truncate(String name, long length) {
+        operation();
+        file(name).truncate((int) length);
+    }
+
+    @Override
+    public void sync(String name) {
+        operation();
+        file(name).unsynced.clear();
+    }
+
+    @Override
+    public void syncFolder() {
+        operation();
+        files.values().forEach(file -> file.nameSynced = true);
+    }
+}
