--- a/src/test/java/quartzspan/replication/simulation/FaultBudget.java
+++ b/src/test/java/quartzspan/replication/simulation/FaultBudget.java
@@ -58,6 +58,9 @@
         if (account != null) {
             account.troubles--;
             account.lostUntil = Math.max(account.lostUntil, now + catchUpMs);
+            if (now < account.withoutDiskUntil && account.withoutDiskUntil < Long.MAX_VALUE) {
+                account.withoutDiskUntil = account.lostUntil;
+            }
         }
     }
 
--- a/src/test/java/quartzspan/replication/simulation/InvariantChecker.java
+++ b/src/test/java/quartzspan/replication/simulation/InvariantChecker.java
@@ -23,8 +23,14 @@
     void check(SimulatedMachine machine) {
         ReplicaAdapter replica = machine.replica();
         if (!replica.primary()) {
+            machine.checked(null);
             return;
         }
+        Object known = replica.viewObject();
+        if (known == machine.checkedView()) {
+            return;
+        }
+        machine.checked(known);
         String ballot = replica.ballot();
         String primary = primaryOf.putIfAbsent(ballot, machine.lifeName());
         require(
--- a/src/test/java/quartzspan/replication/simulation/ReplicaAdapter.java
+++ b/src/test/java/quartzspan/replication/simulation/ReplicaAdapter.java
@@ -148,6 +148,11 @@
         return view.primary() + " copies " + view.copies() + " voters " + view.voters();
     }
 
+    /** Identifies the view known here: another view is another object. */
+    Object viewObject() {
+        return replica.view();
+    }
+
     /** Whether a change of voters is under way. */
     boolean changingVoters() {
         return replica.view().joint();
--- a/src/test/java/quartzspan/replication/simulation/SimulatedMachine.java
+++ b/src/test/java/quartzspan/replication/simulation/SimulatedMachine.java
@@ -47,6 +47,7 @@
     private int powerCycles;
     private boolean leaving;
     private String lastRole = "";
+    private Object checkedView;
 
     SimulatedMachine(String name, Simulation simulation, SplittableRandom random) {
         this.name = name;
@@ -93,6 +94,7 @@
         life++;
         leaving = false;
         lastRole = "";
+        checkedView = null;
         int mine = life;
         try {
             replica = new ReplicaAdapter(
@@ -157,6 +159,15 @@
         }
     }
 
+    /** The view in which this machine, as its primary, was checked last. */
+    Object checkedView() {
+        return checkedView;
+    }
+
+    void checked(Object view) {
+        checkedView = view;
+    }
+
     /** How often this machine lost power: what the network holds up for it is lost then. */
     int powerCycles() {
         return powerCycles;
--- a/src/test/java/quartzspan/replication/simulation/SimulatedNetwork.java
+++ b/src/test/java/quartzspan/replication/simulation/SimulatedNetwork.java
@@ -78,6 +78,10 @@
     }
 
     private void deliver(String from, String to, Object message) {
+        if (simulation.machine(from).removed()) {
+            // What a machine that is gone for good had on the way is lost: it would seem alive.
+            return;
+        }
         Cut cut = cuts.get(new Link(from, to));
         if (cut != null) {
             if (cut.held.size() < MOST_HELD && random(from).nextInt(1000) < cut.heldPerMille) {
