--- a/src/main/java/quartzspan/registry/Gossip.java
+++ b/src/main/java/quartzspan/registry/Gossip.java
@@ -1,10 +1,14 @@
 package quartzspan.registry;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
 
 /**
  * How what one process knows gets to the others, without clock or I/O: news go at once to a few, who pass on what was news to
@@ -24,6 +28,8 @@
     private static final long ASKED_MS = 1_500;
 
     private static final int PEERS = 3;
+    /** News within this time of the last are collected and told together by the next tick. */
+    private static final long COLLECT_MS = 40;
 
     /** Where messages go. */
     public interface Out {
@@ -39,55 +45,99 @@
     private final Out out;
     private final Map<Long, Asked> open = new LinkedHashMap<>();
     private final Map<String, Long> askers = new HashMap<>();
-    private final Map<Long, Runnable> receipts = new HashMap<>();
+    private final ReceiptTracker receipts = new ReceiptTracker();
+    /** News that wait for the next tick; the later of two about one key stands for both. */
+    private final Map<String, RegistryEntry> untold = new LinkedHashMap<>();
+
+    private boolean stateUntold;
+    private long toldAt = Long.MIN_VALUE / 2;
     /** How often in a row a core machine left a question without a good answer. */
     private final Map<String, Integer> poor = new HashMap<>();
 
-    private long nonce;
+    private long lastNonce;
     private long coreAt;
     private long peerAt;
     private int turn;
+    private boolean leaving;
+    /** Ranked lists, kept until what they come from changes. */
+    private List<String> rankedCores = List.of();
+
+    private long coresAsOf = -1;
+    private List<String> rankedPeers = List.of();
+    private long peersAsOf = -1;
 
-    /** @param seeds internal addresses of core machines to begin with */
+    /** As below, with questions numbered from 1 on: for a process that has no earlier life. */
     public Gossip(String self, boolean core, List<String> seeds, Registry registry, Out out) {
+        this(self, core, seeds, registry, out, 0);
+    }
+
+    /**
+     * Starts without knowledge.
+     *
+     * @param seeds internal addresses of core machines to begin with
+     * @param firstNonce from where on questions are numbered: an answer to a question of an earlier life of this process
+     *     must match none of this life, or old state would count as fresh
+     */
+    public Gossip(String self, boolean core, List<String> seeds, Registry registry, Out out, long firstNonce) {
         this.self = self;
         this.core = core;
         this.seeds = seeds;
         this.registry = registry;
         this.out = out;
+        this.lastNonce = firstNonce;
+    }
+
+    /** A first nonce that no other life is likely to be near, drawn by a seed. */
+    public static long firstNonce(long seed) {
+        return new SplittableRandom(seed).nextLong() >>> 2;
     }
 
     /** Other core machines to begin with. */
     public void seeds(List<String> changed) {
         seeds = changed;
+        coresAsOf = -1;
     }
 
     /** The core machines known, best first. */
     public List<String> cores() {
-        List<String> all = new ArrayList<>(seeds);
-        for (RegistryEntry f : registry.all(RegistryEntry.Subject.CORE)) {
-            if (f.state() == RegistryEntry.State.READY && !all.contains(f.key())) {
-                all.add(f.key());
-            } else if (f.state() == RegistryEntry.State.GONE) {
-                all.remove(f.key());
+        long changes = registry.changes(RegistryEntry.Subject.CORE);
+        if (coresAsOf != changes) {
+            coresAsOf = changes;
+            rankedCores = Registry.few(self, knownCores(), Integer.MAX_VALUE);
+        }
+        if (poor.values().stream().allMatch(p -> p == 0)) {
+            return rankedCores;
+        }
+        List<String> best = new ArrayList<>(rankedCores);
+        best.sort(Comparator.comparingInt(c -> poor.getOrDefault(c, 0)));
+        return best;
+    }
+
+    private List<String> knownCores() {
+        Set<String> known = new LinkedHashSet<>(seeds);
+        for (RegistryEntry entry : registry.all(RegistryEntry.Subject.CORE)) {
+            if (entry.state() == RegistryEntry.State.READY) {
+                known.add(entry.key());
+            } else if (entry.state() == RegistryEntry.State.GONE) {
+                known.remove(entry.key());
             }
         }
-        List<String> ranked = new ArrayList<>(Registry.few(self, all, all.size()));
-        ranked.sort((a, b) -> poor.getOrDefault(a, 0) - poor.getOrDefault(b, 0));
-        return ranked;
+        return List.copyOf(known);
     }
 
     /** The few other proxies that this process knows. */
     public List<String> peers() {
-        List<String> proxies = registry.all(RegistryEntry.Subject.PROXY).stream()
-                .filter(f -> f.state() == RegistryEntry.State.READY)
-                .map(RegistryEntry::key)
-                .toList();
-        return Registry.few(self, proxies, PEERS);
+        long changes = registry.changes(RegistryEntry.Subject.PROXY);
+        if (peersAsOf != changes) {
+            peersAsOf = changes;
+            rankedPeers = Registry.few(self, registry.ready(RegistryEntry.Subject.PROXY), PEERS);
+        }
+        return rankedPeers;
     }
 
-    /** To be called every 50 ms; {@code leader}: on a core machine, who is primary, if known and not itself. */
+    /** To be called every 50 to 100 ms; {@code leader}: on a core machine, who is primary, if known and not itself. */
     public void onTick(long now, String leader) {
+        tellCollected(now);
         open.entrySet().removeIf(e -> {
             boolean late = now - e.getValue().at() > PATIENCE_MS;
             if (late) {
@@ -95,6 +145,7 @@
             }
             return late;
         });
+        receipts.due(now, cores()).forEach(r -> sendForReceipt(now, r.nonce(), r.news(), r.to()));
         if (now >= coreAt) {
             coreAt = now + CORE_MS;
             List<String> cores = cores();
@@ -122,8 +173,8 @@
     }
 
     private void ask(long now, String to) {
-        open.put(++nonce, new Asked(to, now));
-        out.send(to, registry.ask(now, nonce));
+        open.put(++lastNonce, new Asked(to, now));
+        out.send(to, registry.ask(now, lastNonce));
     }
 
     /** Something came; the news in it have been passed on already. */
@@ -135,11 +186,11 @@
                 out.send(from, registry.answer(now, in));
             }
             case ANSWER -> {
-                Asked asked = open.remove(in.nonce());
-                Runnable receipt = receipts.remove(in.nonce());
-                if (receipt != null) {
-                    receipt.run();
-                }
+                Asked asked = open.containsKey(in.nonce())
+                                && open.get(in.nonce()).to().equals(from)
+                        ? open.remove(in.nonce())
+                        : null;
+                receipts.acknowledged(in.nonce(), from);
                 if (asked != null) {
                     askedAt = asked.at();
                     poor.put(from, in.ageMs() < 0 || in.ageMs() > STALE_MS ? poor.getOrDefault(from, 0) + 1 : 0);
@@ -148,29 +199,36 @@
                 }
                 sendLacking(now, from, in);
             }
-            default -> {
-                if (in.nonce() != 0) {
-                    out.send(
-                            from,
-                            new GossipMessage(
-                                    GossipMessage.Kind.ANSWER,
-                                    in.nonce(),
-                                    -1,
-                                    -1,
-                                    -1,
-                                    GossipMessage.UNCOMPARED,
-                                    List.of(),
-                                    GossipMessage.NOTHING));
-                }
-            }
+            default -> {}
         }
         Registry.News news = registry.take(now, in, askedAt);
+        if (in.kind() == GossipMessage.Kind.NEWS && in.nonce() != 0 && !leaving) {
+            out.send(from, receipt(in.nonce()));
+        }
         if (news.any()) {
             tell(now, news, from);
         }
         return news;
     }
 
+    /** This process is about to end: it confirms no more that it holds anything. */
+    public void leave() {
+        leaving = true;
+    }
+
+    /** Says that the news with this nonce are held here. */
+    private static GossipMessage receipt(long nonce) {
+        return new GossipMessage(
+                GossipMessage.Kind.ANSWER,
+                nonce,
+                -1,
+                -1,
+                -1,
+                GossipMessage.UNCOMPARED,
+                List.of(),
+                GossipMessage.NOTHING);
+    }
+
     /** What the one who answered does not have, or has older. */
     private void sendLacking(long now, String to, GossipMessage in) {
         if (in.buckets().length != Registry.BUCKETS) {
@@ -197,39 +255,86 @@
         return List.copyOf(askers.keySet());
     }
 
-    /** Passes news on: to the few this process knows, to who asked it of late, and between core machines to all. */
+    /** Passes one entry on, as {@link #tell(long, Registry.News, String)} does. */
+    public void tell(long now, RegistryEntry news) {
+        tell(now, new Registry.News(List.of(news), false), null);
+    }
+
+    /**
+     * Passes news on: a proxy to the few it knows, a core machine to who asked it of late and to the rest of the core. The
+     * first goes at once; what follows within {@link #COLLECT_MS} goes together.
+     */
     public void tell(long now, Registry.News news, String not) {
-        List<String> to = new ArrayList<>(askers.keySet());
-        (core ? cores() : peers()).stream().filter(p -> !to.contains(p)).forEach(to::add);
-        GossipMessage t = registry.news(now, news.entries(), news.state());
-        for (String p : to) {
-            if (!p.equals(not) && !p.equals(self)) {
-                out.send(p, t);
+        if (now - toldAt < COLLECT_MS) {
+            news.entries().forEach(entry -> untold.put(entry.subject().ordinal() + entry.key(), entry));
+            stateUntold |= news.state();
+            return;
+        }
+        tellAtOnce(now, news, not);
+    }
+
+    private void tellCollected(long now) {
+        if (untold.isEmpty() && !stateUntold || now - toldAt < COLLECT_MS) {
+            return;
+        }
+        Registry.News news = new Registry.News(List.copyOf(untold.values()), stateUntold);
+        untold.clear();
+        stateUntold = false;
+        tellAtOnce(now, news, null);
+    }
+
+    private void tellAtOnce(long now, Registry.News news, String not) {
+        toldAt = now;
+        Set<String> to = new LinkedHashSet<>(core ? askers.keySet() : peers());
+        if (core) {
+            to.addAll(cores());
+        }
+        GossipMessage message = registry.news(now, news.entries(), news.state());
+        for (String other : to) {
+            if (!other.equals(not) && !other.equals(self)) {
+                out.send(other, message);
             }
         }
     }
 
-    /** Tells news, and says when the first other core machine has them: then they outlive this process. */
-    public void tellSurely(long now, Registry.News news, Runnable known) {
-        tell(now, news, null);
-        long receipt = ++nonce;
-        receipts.put(receipt, known);
-        GossipMessage t = registry.news(now, news.entries(), false);
-        for (String c : cores()) {
-            out.send(
-                    c,
-                    new GossipMessage(
-                            t.kind(),
-                            receipt,
-                            t.ageMs(),
-                            t.stateEpoch(),
-                            t.stateIndex(),
-                            t.buckets(),
-                            t.entries(),
-                            t.controlState()));
-        }
-        if (receipts.size() > 4096) {
-            receipts.clear();
+    /**
+     * Tells news, and says when enough other core machines hold them: then they outlive this process and others with it.
+     * Whoever has not answered is told again until then, or until {@link #cancelReceipt}.
+     *
+     * @param wanted how many others must hold them, at least one
+     * @return what to give to {@link #cancelReceipt}
+     */
+    public long tellSurely(long now, List<RegistryEntry> news, int wanted, Runnable known) {
+        List<String> cores = cores();
+        List<String> others = new ArrayList<>(askers.keySet());
+        if (!core) {
+            peers().stream().filter(p -> !others.contains(p)).forEach(others::add);
         }
+        others.removeAll(cores);
+        GossipMessage plain = registry.news(now, news, false);
+        others.forEach(to -> out.send(to, plain));
+        long nonce = ++lastNonce;
+        receipts.open(now, nonce, wanted, cores, news, known);
+        sendForReceipt(now, nonce, news, cores);
+        return nonce;
+    }
+
+    /** Nobody waits for these news to be held by others any more. */
+    public void cancelReceipt(long receipt) {
+        receipts.cancel(receipt);
+    }
+
+    private void sendForReceipt(long now, long nonce, List<RegistryEntry> news, List<String> to) {
+        GossipMessage plain = registry.news(now, news, false);
+        GossipMessage asking = new GossipMessage(
+                plain.kind(),
+                nonce,
+                plain.ageMs(),
+                plain.stateEpoch(),
+                plain.stateIndex(),
+                plain.buckets(),
+                plain.entries(),
+                plain.controlState());
+        to.forEach(c -> out.send(c, asking));
     }
 }
