--- a/src/main/java/quartzspan/controlplane/RolloutDuty.java
+++ b/src/main/java/quartzspan/controlplane/RolloutDuty.java
@@ -68,7 +68,7 @@
     private final long leaseMs;
     private final Supplier<Optional<Reign>> reigns;
     private final Out out;
-    private final Rollout rollout = new Rollout();
+    private final Rollout rollout;
     private final List<Announced> announced = new ArrayList<>();
     private final Map<String, Long> reportAt = new HashMap<>();
 
@@ -81,10 +81,14 @@
     /** Fence of the claim under which this process was last free to give orders. */
     private long servedFence = -1;
 
-    /** @param reigns this machine's place at the moment of asking; empty while it is not primary */
-    RolloutDuty(String self, long leaseMs, Supplier<Optional<Reign>> reigns, Out out) {
+    /**
+     * @param rollout whom to order when
+     * @param reigns this machine's place at the moment of asking; empty while it is not primary
+     */
+    RolloutDuty(String self, long leaseMs, Rollout rollout, Supplier<Optional<Reign>> reigns, Out out) {
         this.self = self;
         this.leaseMs = leaseMs;
+        this.rollout = rollout;
         this.reigns = reigns;
         this.out = out;
     }
