--- a/src/test/java/quartzspan/replication/simulation/FaultBudget.java
+++ b/src/test/java/quartzspan/replication/simulation/FaultBudget.java
@@ -115,6 +115,11 @@
         settledAt = Math.max(settledAt, time);
     }
 
+    /** Whether a planned replacement is under way. */
+    boolean settling(long now) {
+        return pending > 0 || now < settledAt;
+    }
+
     boolean anyLost(long now) {
         return pending > 0 || now < settledAt || accounts.values().stream().anyMatch(a -> lost(a, now));
     }
--- a/src/test/java/quartzspan/replication/simulation/SimulatedMachine.java
+++ b/src/test/java/quartzspan/replication/simulation/SimulatedMachine.java
@@ -46,6 +46,7 @@
     private boolean removed;
     private int powerCycles;
     private boolean leaving;
+    private boolean leftInOrder;
     private String lastRole = "";
     private Object checkedView;
 
@@ -71,6 +72,11 @@
         return leaving;
     }
 
+    /** Whether its last process ended by itself after a SIGTERM, all handed over. */
+    boolean leftInOrder() {
+        return leftInOrder;
+    }
+
     boolean frozen() {
         return freezes > 0;
     }
@@ -112,6 +118,7 @@
             replica.tick(now);
             if (leaving && replica.left(now)) {
                 simulation.trace(() -> lifeName() + " has left");
+                leftInOrder = true;
                 end(false);
             }
         });
--- a/src/test/java/quartzspan/replication/simulation/TroubleInjector.java
+++ b/src/test/java/quartzspan/replication/simulation/TroubleInjector.java
@@ -108,7 +108,7 @@
             return false;
         }
         boolean disksKept = step.kind() != Step.Kind.WIPE && step.kind() != Step.Kind.REPLACE_UNPLANNED;
-        if (scenario.beyondTolerance() && disksKept && !budget.disksMissing(now)) {
+        if (scenario.beyondTolerance() && disksKept && !budget.disksMissing(now) && !budget.settling(now)) {
             return true;
         }
         return budget.allows(targets.stream().map(m -> m.name).toList(), now);
@@ -305,9 +305,12 @@
             old.terminate();
             untilEnded(old, queue.now() + GRACE_MS, () -> {
                 old.remove();
-                budget.removed(old.name);
-                budget.pendingEnds();
                 budget.settlesUntil(queue.now() + scenario.catchUpMs());
+                // Whose hand-over was cut short counts until the others have settled without it.
+                queue.after(old.leftInOrder() ? 0 : scenario.catchUpMs(), () -> {
+                    budget.removed(old.name);
+                    budget.pendingEnds();
+                });
             });
         });
     }
