--- a/src/main/java/quartzspan/frontend/FrontendProxy.java
+++ b/src/main/java/quartzspan/frontend/FrontendProxy.java
@@ -103,6 +103,7 @@
                 new Upstream(loop, DIAL_US, IDLE_US, Math.max(64, (settings.descriptors() - OWN_DESCRIPTORS) / 3));
         this.transport = new TcpTransport(loop, new Hello(false, self, "", settings.zone()), this::received);
         this.gossip = new Gossip(self, false, seeds, registry, transport::send, Gossip.firstNonce(System.nanoTime()));
+        gossip.preferZone(settings.zone());
         this.frontend = new Frontend(this, loop);
         this.placement = new Placement(System.nanoTime(), new Placement.Connections() {
             @Override
@@ -323,17 +324,16 @@
             gossip.onTick(now, null);
             registry.tidy(now);
             transport.tidy(10_000);
-            if (!ready && fresh()) {
-                ready = true;
-                LOG.info("ready with version {}", configuration().version());
-            }
+            becomeReady();
         } catch (RuntimeException e) {
             LOG.error("a turn failed", e);
         }
     }
 
     private void received(Hello from, Object message) {
-        if (message instanceof PromptIndexUpdate c && c.kind() != PromptIndexUpdate.Kind.ASK && promptIndex.take(c)) {
+        if (message instanceof PromptIndexUpdate c
+                && c.kind() != PromptIndexUpdate.Kind.ASK
+                && promptIndex.take(ms(), c)) {
             transport.send(
                     from.address(),
                     new PromptIndexUpdate(PromptIndexUpdate.Kind.ASK, c.server(), 0, 0, new long[0], new int[0]));
@@ -348,6 +348,14 @@
             services = configuration().services();
             registry.servers().forEach(this::learn);
         }
+        becomeReady();
+    }
+
+    private void becomeReady() {
+        if (!ready && fresh()) {
+            ready = true;
+            LOG.info("ready with version {}", configuration().version());
+        }
     }
 
     private void learn(RegistryEntry entry) {
