Orders are taken back after 550 ms; what a new holder waits counts as time used by its rollout

Cause, by reading: an order could be on its way for its two seconds, while the next holder counted on 550 ms; and a holder that began after the lease started its schedule anew, so that 4 s of version_apply_ms were gone before the first server was counted as late. Tests: RolloutDutyTest.whatANewHolderWaitsCountsAsTimeUsed (fails without it), ServerClientTest.

--- a/src/main/java/quartzspan/controlplane/ControlPlane.java
+++ b/src/main/java/quartzspan/controlplane/ControlPlane.java
@@ -389,6 +389,7 @@
                     server,
                     "/quartzspan/order",
                     RolloutDuty.json(order, settings.nodeName()),
+                    RolloutDuty.DELIVERY_MS,
                     () -> rollout.permits(ms(), order),
                     (status, body) -> {
                         if (status != 200 && status != 202) {
--- a/src/main/java/quartzspan/controlplane/Rollout.java
+++ b/src/main/java/quartzspan/controlplane/Rollout.java
@@ -36,15 +36,28 @@
         this.applyMs = applyMs;
     }
 
+    /** Notes which rollouts are under way while no orders may be given: their time runs. */
+    void observe(long now, Map<String, Long> wanted, List<Server> servers) {
+        wanted.forEach((model, version) -> {
+            List<Server> of = loadable(model, servers);
+            long behind = of.stream().filter(s -> s.weights() < version).count();
+            atOnce(now, model, version, of.size(), (int) behind);
+        });
+    }
+
+    private static List<Server> loadable(String model, List<Server> servers) {
+        return servers.stream()
+                .filter(s -> s.model().equals(model)
+                        && s.state() != RegistryEntry.State.GONE
+                        && s.state() != RegistryEntry.State.LOST)
+                .toList();
+    }
+
     /** The orders to give now. */
     List<Order> due(long now, Map<String, Long> wanted, List<Server> servers) {
         return wanted.entrySet().stream()
                 .flatMap(w -> {
-                    List<Server> of = servers.stream()
-                            .filter(s -> s.model().equals(w.getKey())
-                                    && s.state() != RegistryEntry.State.GONE
-                                    && s.state() != RegistryEntry.State.LOST)
-                            .toList();
+                    List<Server> of = loadable(w.getKey(), servers);
                     List<Server> behind =
                             of.stream().filter(s -> s.weights() < w.getValue()).toList();
                     orderedAt.keySet().removeIf(id -> of.stream()
--- a/src/main/java/quartzspan/controlplane/RolloutDuty.java
+++ b/src/main/java/quartzspan/controlplane/RolloutDuty.java
@@ -25,7 +25,7 @@
 final class RolloutDuty {
     /** An order is sent only by a primary whose place was confirmed within this. */
     static final long CONFIRMED_MS = 450;
-    /** Longest time for which an order of an earlier holder may be on its way. */
+    /** Longest time for which an order may be on its way: after that it is taken back from its connection. */
     static final long DELIVERY_MS = 550;
     /** Between telling proxies that a server will load weights and ordering it to. */
     static final long ANNOUNCE_MS = 60;
@@ -113,6 +113,7 @@
             return;
         }
         if (!free(now, reign.get())) {
+            rollout.observe(now, reign.get().weights(), known.get());
             return;
         }
         servedFence = fence;
--- a/src/main/java/quartzspan/controlplane/ServerClient.java
+++ b/src/main/java/quartzspan/controlplane/ServerClient.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import mulleinfront.Balancer.Outcome;
@@ -19,7 +20,7 @@
 /** The core machine's own calls to servers, over connections that are kept: a new one costs a server as much as a small request. */
 final class ServerClient {
     private static final Logger LOG = LoggerFactory.getLogger(ServerClient.class);
-    private static final int TIMEOUT_US = 2_000_000;
+    private static final long QUESTION_MS = 2_000;
     private static final int CONNECTIONS_PER_SERVER = 4;
     /** Status of a call that ended without an answer: it may have been carried out. */
     static final int NO_ANSWER = 0;
@@ -53,16 +54,18 @@
 
     /** Asks for something. */
     void get(Server server, String path, Map<String, String> headers, Answered then) {
-        call(server, "GET", path, headers, "", () -> true, then);
+        call(server, "GET", path, headers, "", QUESTION_MS, () -> true, then);
     }
 
     /**
      * Sends something that must go out only while it is permitted.
      *
+     * @param timeoutMs time after which it is given up and can't arrive any more
      * @param permitted asked right before each write to the socket, when the connection stands
      */
-    void post(Server server, String path, String json, BooleanSupplier permitted, Answered then) {
-        call(server, "POST", path, Map.of("Content-Type", "application/json"), json, permitted, then);
+    void post(Server server, String path, String json, long timeoutMs, BooleanSupplier permitted, Answered then) {
+        Map<String, String> headers = Map.of("Content-Type", "application/json");
+        call(server, "POST", path, headers, json, timeoutMs, permitted, then);
     }
 
     private void call(
@@ -71,6 +74,7 @@
             String path,
             Map<String, String> more,
             String body,
+            long timeoutMs,
             BooleanSupplier permitted,
             Answered then) {
         HttpHeaders headers = new DefaultHttpHeaders().set("Host", server.address());
@@ -91,7 +95,7 @@
         upstream.attempt(
                         host(server),
                         new Call(method, path, headers, body.getBytes(StandardCharsets.UTF_8)),
-                        TIMEOUT_US,
+                        TimeUnit.MILLISECONDS.toMicros(timeoutMs),
                         permitted,
                         reading,
                         end)
--- a/src/test/java/quartzspan/controlplane/RolloutDutyTest.java
+++ b/src/test/java/quartzspan/controlplane/RolloutDutyTest.java
@@ -305,4 +305,14 @@
         a.run(4_000);
         assertEquals(2, orders.get(orders.size() - 1).fencingToken());
     }
+
+    @Test
+    void whatANewHolderWaitsCountsAsTimeUsed() {
+        holder = "other";
+        fence = 7;
+        Machine a = new Machine("a");
+        a.reigns(5);
+        a.run(LEASE_MS + RolloutDuty.CONFIRMED_MS + RolloutDuty.DELIVERY_MS + 300);
+        assertEquals(2, orders.size(), "two of three at once, where it is one at the beginning of a rollout");
+    }
 }
--- a/src/test/java/quartzspan/controlplane/ServerClientTest.java
+++ b/src/test/java/quartzspan/controlplane/ServerClientTest.java
@@ -28,6 +28,7 @@
 /** When an order goes out, and what is known of one that has no answer. */
 class ServerClientTest {
     private static final int PATIENCE_S = 10;
+    private static final long TIMEOUT_MS = 800;
 
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
@@ -51,8 +52,8 @@
 
     private CompletableFuture<Integer> post(BooleanSupplier permitted) {
         CompletableFuture<Integer> ended = new CompletableFuture<>();
-        loop.execute(() ->
-                client.post(server, "/quartzspan/order", "{}", permitted, (status, body) -> ended.complete(status)));
+        loop.execute(() -> client.post(
+                server, "/quartzspan/order", "{}", TIMEOUT_MS, permitted, (status, body) -> ended.complete(status)));
         return ended;
     }
 
@@ -66,6 +67,7 @@
                     server,
                     "/quartzspan/order",
                     "{}",
+                    TIMEOUT_MS,
                     () -> asked.incrementAndGet() > 1_000,
                     (status, body) -> ended.complete(status));
             early.complete(asked.get() > 0);
