--- a/src/main/java/quartzspan/promptindex/KvEventFollower.java
+++ b/src/main/java/quartzspan/promptindex/KvEventFollower.java
@@ -1,7 +1,8 @@
 package quartzspan.promptindex;
 
-import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 
 /**
  * Follows what one server keeps, by its events, and by its list where events were missed. No clock, no I/O: it says what to
@@ -80,20 +81,32 @@
         asking = false;
         failures = 0;
         nextAt = now + PACE_MS;
-        List<PromptIndexUpdate> out = new ArrayList<>(2);
-        if (!begun || itsEpoch != epoch) {
+        boolean first = !begun || itsEpoch != epoch;
+        if (first) {
             // A new life keeps nothing yet, and tells its events from the first one on.
             mustList = begun && since > 0 || lost;
             begun = true;
             epoch = itsEpoch;
-            out.add(report(PromptIndexUpdate.Kind.WHOLE, List.of()));
         }
         mustList |= lost;
         since = next;
-        if (!events.isEmpty()) {
-            out.add(report(PromptIndexUpdate.Kind.NEWS, events));
+        List<Event> outcome = outcome(events);
+        if (first) {
+            return List.of(report(
+                    PromptIndexUpdate.Kind.WHOLE,
+                    outcome.stream().filter(e -> e.tokens() > 0).toList()));
         }
-        return out;
+        return outcome.isEmpty() ? List.of() : List.of(report(PromptIndexUpdate.Kind.NEWS, outcome));
+    }
+
+    /**
+     * The last event of each part: a server's events since its start are many times what it keeps now, and whoever follows
+     * it anew would tell them all to everybody.
+     */
+    private static List<Event> outcome(List<Event> events) {
+        Map<List<String>, Event> last = new LinkedHashMap<>();
+        events.forEach(e -> last.put(List.of(e.salt(), e.id(), e.model()), e));
+        return List.copyOf(last.values());
     }
 
     /** The list came; the report it makes. */
