Core machine: an order to a server goes out on a connection of its own

Cause: servers' answers to orders and questions bear no id, so an answer one too many on a kept connection could be taken for the next order's. Test: ServerClientTest.anAnswerTooManyOnAKeptConnectionIsNotTheOrders (two connections; with the kept one it reads the extra 200).

--- a/src/main/java/quartzspan/controlplane/ServerClient.java
+++ b/src/main/java/quartzspan/controlplane/ServerClient.java
@@ -92,6 +92,8 @@
                 LOG.warn("an answer of {} can't be read", server.id(), e);
             }
         };
+        // Servers' answers to these calls bear no id: one too many on a kept connection would be taken for an order's.
+        Upstream.Reuse reuse = method.equals("POST") ? Upstream.Reuse.NONE : Upstream.Reuse.ANY;
         upstream.attempt(
                         host(server),
                         new Call(method, path, headers, body.getBytes(StandardCharsets.UTF_8)),
@@ -99,7 +101,7 @@
                         permitted,
                         reading,
                         end)
-                .start();
+                .start(reuse);
     }
 
     private Upstream.Host host(Server server) {
--- a/src/test/java/quartzspan/controlplane/ServerClientTest.java
+++ b/src/test/java/quartzspan/controlplane/ServerClientTest.java
@@ -14,6 +14,7 @@
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -121,4 +122,26 @@
                     "reset: what was not read yet is gone");
         }
     }
+
+    /** A server answers a question twice: the second answer is not taken for that of the order which follows. */
+    @Test
+    void anAnswerTooManyOnAKeptConnectionIsNotTheOrders() throws Exception {
+        String answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+        CompletableFuture<Integer> asked = new CompletableFuture<>();
+        loop.execute(
+                () -> client.get(server, "/quartzspan/report", Map.of(), (status, body) -> asked.complete(status)));
+        try (Socket kept = listening.accept()) {
+            kept.getInputStream().read();
+            kept.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
+            assertEquals(200, asked.get(PATIENCE_S, TimeUnit.SECONDS));
+            CompletableFuture<Integer> ordered = post(() -> true);
+            try (Socket fresh = listening.accept()) {
+                kept.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
+                fresh.getInputStream().read();
+                fresh.getOutputStream()
+                        .write(answer.replace("200 OK", "409 Conflict").getBytes(StandardCharsets.US_ASCII));
+                assertEquals(409, ordered.get(PATIENCE_S, TimeUnit.SECONDS));
+            }
+        }
+    }
 }
