--- a/src/test/java/quartzspan/replication/simulation/TroubleInjector.java
+++ b/src/test/java/quartzspan/replication/simulation/TroubleInjector.java
@@ -270,10 +270,10 @@
     }
 
     private void untilEnded(SimulatedMachine machine, long killAt, Runnable then) {
-        if (machine.running() && machine.leaving() && queue.now() >= killAt) {
+        if (machine.running() && queue.now() >= killAt) {
             machine.end(false);
         }
-        if (!machine.running() || !machine.leaving() && queue.now() >= killAt) {
+        if (!machine.running()) {
             then.run();
         } else {
             queue.after(20, () -> untilEnded(machine, killAt, then));
