A blank replica that is told to end does so at once; a primary's term is called one

Cause (simulator, F6): one that has not recovered waited out its grace though nobody counts on it. Test: HandoverTest.aBlankReplicaMayEndAtOnce.

--- a/src/main/java/quartzspan/controlplane/ControlPlane.java
+++ b/src/main/java/quartzspan/controlplane/ControlPlane.java
@@ -146,7 +146,7 @@
                 });
         this.leaves = new LeaveAcknowledgements(gossip);
         Rollout schedule = new Rollout(settings.bounds().versionApplyMs());
-        this.rollout = new RolloutDuty(self, settings.bounds().leaseMs(), schedule, this::reign, new RolloutOrders());
+        this.rollout = new RolloutDuty(self, settings.bounds().leaseMs(), schedule, this::term, new RolloutOrders());
         this.promptIndex = new PromptIndexFollowing(this::ms, self, registry, gossip, transport, servers);
         this.ending =
                 new GracefulStop(new ReplicaMember(), (long) (settings.bounds().gracePeriodS() * 1000));
@@ -352,22 +352,22 @@
 
     // ---- the rollout of weights ----------------------------------------------------------------------
 
-    private Optional<RolloutDuty.Reign> reign() {
+    private Optional<RolloutDuty.Term> term() {
         if (!replica.primary()) {
             return Optional.empty();
         }
         ControlState state = replica.state();
-        return Optional.of(new RolloutDuty.Reign(
+        return Optional.of(new RolloutDuty.Term(
                 replica.view().ballot(), replica.confirmedAt(), state.holder(), state.fence(), state.weights()));
     }
 
     /** What the rollout does, in calls to servers and news to proxies. */
     private final class RolloutOrders implements RolloutDuty.Out {
         @Override
-        public void claim(Ballot reign) {
+        public void claim(Ballot term) {
             long ticket = tickets.issue((why, state) -> {
                 boolean granted = why == null && state.holder().equals(self);
-                rollout.claimed(reign, granted, granted ? state.fence() : 0);
+                rollout.claimed(term, granted, granted ? state.fence() : 0);
             });
             replica.change(ms(), ticket, new Change(Change.Kind.DUTY, 0, self.getBytes(StandardCharsets.UTF_8)));
         }
--- a/src/main/java/quartzspan/controlplane/RolloutDuty.java
+++ b/src/main/java/quartzspan/controlplane/RolloutDuty.java
@@ -17,7 +17,7 @@
  * <p>Servers need not check fencing tokens, so the holder before must have surely stopped when the next one begins. A holder
  * sends an order only within {@link #CONFIRMED_MS} of the sending of a heartbeat that a majority acknowledged, which is
  * asked right before the bytes go out. Whoever becomes primary was granted its ballot by a majority after that, so all
- * earlier holders are silent {@link #CONFIRMED_MS} after its reign began, and it waits for the lease from there on. The
+ * earlier holders are silent {@link #CONFIRMED_MS} after its term began, and it waits for the lease from there on. The
  * fencing token is the fence of the claim in the control state: it is this claim's alone, and higher than all before it.
  *
  * <p>No clock, no I/O; times are milliseconds of a steady clock.
@@ -36,13 +36,13 @@
     /**
      * This machine's place as primary.
      *
-     * @param ballot names the reign; each has one primary
+     * @param ballot names the term; each has one primary
      * @param confirmedAt when the last heartbeat that a majority acknowledged was sent
      * @param holder who claimed the duty last; empty if nobody ever did
      * @param fence fence of that claim
      * @param weights versions of weights that were named, by model
      */
-    record Reign(Ballot ballot, long confirmedAt, String holder, long fence, Map<String, Long> weights) {}
+    record Term(Ballot ballot, long confirmedAt, String holder, long fence, Map<String, Long> weights) {}
 
     /** An order to one server. */
     record Order(Server server, String model, long version, long fencingToken) {}
@@ -50,7 +50,7 @@
     /** What the duty does. */
     interface Out {
         /** Claims the duty in the control state; {@link RolloutDuty#claimed} tells of it. */
-        void claim(Ballot reign);
+        void claim(Ballot term);
 
         /** Tells proxies that a server is about to load weights. */
         void announce(Server server, long version);
@@ -66,14 +66,14 @@
 
     private final String self;
     private final long leaseMs;
-    private final Supplier<Optional<Reign>> reigns;
+    private final Supplier<Optional<Term>> terms;
     private final Out out;
     private final Rollout rollout;
     private final List<Announced> announced = new ArrayList<>();
     private final Map<String, Long> reportAt = new HashMap<>();
 
     private Ballot ballot = Ballot.NONE;
-    private long reignedSince;
+    private long termSince;
     private boolean claiming;
     private boolean holding;
     private long fence;
@@ -83,13 +83,13 @@
 
     /**
      * @param rollout whom to order when
-     * @param reigns this machine's place at the moment of asking; empty while it is not primary
+     * @param terms this machine's place at the moment of asking; empty while it is not primary
      */
-    RolloutDuty(String self, long leaseMs, Rollout rollout, Supplier<Optional<Reign>> reigns, Out out) {
+    RolloutDuty(String self, long leaseMs, Rollout rollout, Supplier<Optional<Term>> terms, Out out) {
         this.self = self;
         this.leaseMs = leaseMs;
         this.rollout = rollout;
-        this.reigns = reigns;
+        this.terms = terms;
         this.out = out;
     }
 
@@ -99,27 +99,27 @@
      * @param known the servers known at present
      */
     void onTick(long now, Supplier<List<Server>> known) {
-        Optional<Reign> reign = reigns.get();
-        if (reign.isEmpty()) {
+        Optional<Term> term = terms.get();
+        if (term.isEmpty()) {
             resign();
             return;
         }
-        follow(now, reign.get());
-        if (reign.get().weights().isEmpty()) {
+        follow(now, term.get());
+        if (term.get().weights().isEmpty()) {
             return;
         }
         if (!holding) {
-            claim(reign.get());
+            claim(term.get());
             return;
         }
-        if (!free(now, reign.get())) {
-            rollout.observe(now, reign.get().weights(), known.get());
+        if (!free(now, term.get())) {
+            rollout.observe(now, term.get().weights(), known.get());
             return;
         }
         servedFence = fence;
         sendAnnounced(now);
         List<Server> servers = known.get();
-        announce(now, reign.get(), servers);
+        announce(now, term.get(), servers);
         report(now, servers);
     }
 
@@ -130,27 +130,27 @@
         announced.clear();
     }
 
-    private void follow(long now, Reign reign) {
-        if (!reign.ballot().equals(ballot)) {
+    private void follow(long now, Term term) {
+        if (!term.ballot().equals(ballot)) {
             resign();
-            ballot = reign.ballot();
-            reignedSince = now;
+            ballot = term.ballot();
+            termSince = now;
         }
     }
 
-    private void claim(Reign reign) {
+    private void claim(Term term) {
         if (claiming) {
             return;
         }
         claiming = true;
-        boolean noOtherSince = reign.holder().isEmpty() || reign.holder().equals(self) && reign.fence() == servedFence;
-        beginAt = noOtherSince ? reignedSince : reignedSince + CONFIRMED_MS + DELIVERY_MS + leaseMs;
-        out.claim(reign.ballot());
+        boolean noOtherSince = term.holder().isEmpty() || term.holder().equals(self) && term.fence() == servedFence;
+        beginAt = noOtherSince ? termSince : termSince + CONFIRMED_MS + DELIVERY_MS + leaseMs;
+        out.claim(term.ballot());
     }
 
-    /** What became of the claim made in a reign; {@code claimFence} is its fence if it was granted. */
-    void claimed(Ballot reign, boolean granted, long claimFence) {
-        if (!reign.equals(ballot) || !claiming) {
+    /** What became of the claim made in a term; {@code claimFence} is its fence if it was granted. */
+    void claimed(Ballot term, boolean granted, long claimFence) {
+        if (!term.equals(ballot) || !claiming) {
             return;
         }
         claiming = false;
@@ -158,14 +158,14 @@
         fence = claimFence;
     }
 
-    private boolean free(long now, Reign reign) {
-        return holding && reign.ballot().equals(ballot) && now >= beginAt && now - reign.confirmedAt() <= CONFIRMED_MS;
+    private boolean free(long now, Term term) {
+        return holding && term.ballot().equals(ballot) && now >= beginAt && now - term.confirmedAt() <= CONFIRMED_MS;
     }
 
     /** Whether an order may go out at this very moment. */
     boolean permits(long now, Order order) {
-        Optional<Reign> reign = reigns.get();
-        return reign.isPresent() && order.fencingToken() == fence && free(now, reign.get());
+        Optional<Term> term = terms.get();
+        return term.isPresent() && order.fencingToken() == fence && free(now, term.get());
     }
 
     private void sendAnnounced(long now) {
@@ -178,8 +178,8 @@
         }
     }
 
-    private void announce(long now, Reign reign, List<Server> servers) {
-        for (Rollout.Order due : rollout.due(now, reign.weights(), servers)) {
+    private void announce(long now, Term term, List<Server> servers) {
+        for (Rollout.Order due : rollout.due(now, term.weights(), servers)) {
             rollout.ordered(now, due.server().id());
             reportAt.put(due.server().id(), now + REPORT_EVERY_MS);
             out.announce(due.server(), due.version());
--- a/src/main/java/quartzspan/replication/Replica.java
+++ b/src/main/java/quartzspan/replication/Replica.java
@@ -227,6 +227,10 @@
 
     /** Whether nothing is lost when a replica that leaves ends now. */
     public boolean left(long now) {
+        if (voter.blank()) {
+            // It vouches for nothing, so nobody counts on it.
+            return leaving;
+        }
         boolean inForce = inForceBallot.equals(view().ballot());
         if (!leaving || primary() || !inForce) {
             return false;
--- a/src/test/java/quartzspan/controlplane/RolloutDutyTest.java
+++ b/src/test/java/quartzspan/controlplane/RolloutDutyTest.java
@@ -48,16 +48,16 @@
 
         void restart() {
             epoch = -1;
-            duty = new RolloutDuty(name, LEASE_MS, new Rollout(APPLY_MS), this::reign, this);
+            duty = new RolloutDuty(name, LEASE_MS, new Rollout(APPLY_MS), this::term, this);
         }
 
-        private Optional<RolloutDuty.Reign> reign() {
+        private Optional<RolloutDuty.Term> term() {
             return epoch < 0
                     ? Optional.empty()
-                    : Optional.of(new RolloutDuty.Reign(new Ballot(epoch, name, 0), confirmedAt, holder, fence, named));
+                    : Optional.of(new RolloutDuty.Term(new Ballot(epoch, name, 0), confirmedAt, holder, fence, named));
         }
 
-        void reigns(long inEpoch) {
+        void terms(long inEpoch) {
             epoch = inEpoch;
             confirmedAt = now;
         }
@@ -72,11 +72,11 @@
         }
 
         @Override
-        public void claim(Ballot reign) {
+        public void claim(Ballot term) {
             holder = name;
             fence++;
             if (answersClaims) {
-                duty.claimed(reign, true, fence);
+                duty.claimed(term, true, fence);
             }
         }
 
@@ -109,7 +109,7 @@
     @Test
     void theFirstHolderWaitsForNobody() {
         Machine a = new Machine("a");
-        a.reigns(1);
+        a.terms(1);
         a.run(300);
         assertFalse(orders.isEmpty());
         assertEquals(1, orders.get(0).fencingToken());
@@ -119,7 +119,7 @@
     void nothingIsOrderedWhereNothingIsNamed() {
         named.clear();
         Machine a = new Machine("a");
-        a.reigns(1);
+        a.terms(1);
         a.run(5_000);
         assertTrue(orders.isEmpty());
         assertEquals("", holder, "not even claimed");
@@ -129,11 +129,11 @@
     void aCutHolderIsSilentForTheLeaseBeforeTheNextOneBegins() {
         Machine a = new Machine("a");
         Machine b = new Machine("b");
-        a.reigns(1);
+        a.terms(1);
         a.run(1_000);
         a.cut = true;
         // At the latest now another machine has a majority; the one that was cut off does not know and goes on.
-        b.reigns(2);
+        b.terms(2);
         long began = now;
         List<RolloutDuty.Order> old = new ArrayList<>(orders);
         for (int tick = 0; tick < 200; tick++) {
@@ -170,7 +170,7 @@
     @Test
     void aFrozenHolderThatThawsSendsNothing() {
         Machine a = new Machine("a");
-        a.reigns(1);
+        a.terms(1);
         a.run(200);
         int before = orders.size();
         RolloutDuty.Order open = orders.get(0);
@@ -182,12 +182,12 @@
     }
 
     @Test
-    void anAnnouncedOrderOfAnEarlierReignIsNotSent() {
+    void anAnnouncedOrderOfAnEarlierTermIsNotSent() {
         Machine a = new Machine("a");
-        a.reigns(1);
+        a.terms(1);
         a.run(200);
         RolloutDuty.Order early = orders.get(0);
-        a.reigns(3);
+        a.terms(3);
         a.run(200);
         assertFalse(a.duty.permits(now, early), "its token is of an earlier claim");
     }
@@ -195,9 +195,9 @@
     @Test
     void theSameHolderGoesOnAtOnceUnderAHigherToken() {
         Machine a = new Machine("a");
-        a.reigns(1);
+        a.terms(1);
         a.run(200);
-        a.reigns(2);
+        a.terms(2);
         long again = now;
         a.run(4_000);
         int first = firstIndex(2);
@@ -209,17 +209,17 @@
     void aClaimThatWasTakenUnansweredDoesNotHideTheHolderBefore() {
         Machine a = new Machine("a");
         Machine b = new Machine("b");
-        b.reigns(1);
+        b.terms(1);
         b.run(1_000);
         long lastOfB = last();
         b.epoch = -1;
         a.answersClaims = false;
-        a.reigns(2);
+        a.terms(2);
         a.run(100);
         a.epoch = -1;
         a.run(100);
         a.answersClaims = true;
-        a.reigns(3);
+        a.terms(3);
         a.run(6_000);
         assertEquals("a", holder);
         int first = firstIndex(3);
@@ -230,17 +230,17 @@
     @Test
     void aRestartedHolderWaitsAsAnyOther() {
         Machine a = new Machine("a");
-        a.reigns(1);
+        a.terms(1);
         a.run(200);
         a.restart();
-        a.reigns(2);
+        a.terms(2);
         long restarted = now;
         a.run(6_000);
         assertTrue(orderedAt.get(firstIndex(2)) - restarted >= LEASE_MS, "it can't know what came of its claims");
     }
 
     @Test
-    void tokensNeverFallNorAreSharedWhateverTheOrderOfReigns() {
+    void tokensNeverFallNorAreSharedWhateverTheOrderOfTerms() {
         List<Machine> machines = List.of(new Machine("a"), new Machine("b"), new Machine("c"));
         Map<Long, String> owners = new HashMap<>();
         for (int epoch = 1; epoch < 12; epoch++) {
@@ -249,7 +249,7 @@
             if (epoch % 4 == 0) {
                 next.restart();
             }
-            next.reigns(epoch);
+            next.terms(epoch);
             int before = orders.size();
             next.run(epoch % 3 == 0 ? 1_000 : 6_000);
             orders.subList(before, orders.size())
@@ -268,7 +268,7 @@
         holder = "other";
         fence = 7;
         Machine a = new Machine("a");
-        a.reigns(5);
+        a.terms(5);
         a.run(10_000);
         named.put("m", 2L);
         long at = now;
@@ -280,7 +280,7 @@
     @Test
     void anOrderThatWasNotSentIsGivenAnewSoonAndOneWithoutAnAnswerLater() {
         Machine a = new Machine("a");
-        a.reigns(1);
+        a.terms(1);
         a.run(200);
         RolloutDuty.Order first = orders.get(0);
         a.duty.answered(now, first, ServerClient.NOT_SENT);
@@ -299,7 +299,7 @@
     @Test
     void whoMeetsAHigherTokenClaimsAnew() {
         Machine a = new Machine("a");
-        a.reigns(1);
+        a.terms(1);
         a.run(200);
         a.duty.answered(now, orders.get(0), 412);
         a.run(4_000);
@@ -311,7 +311,7 @@
         holder = "other";
         fence = 7;
         Machine a = new Machine("a");
-        a.reigns(5);
+        a.terms(5);
         a.run(LEASE_MS + RolloutDuty.CONFIRMED_MS + RolloutDuty.DELIVERY_MS + 300);
         assertEquals(2, orders.size(), "two of three at once, where it is one at the beginning of a rollout");
     }
--- a/src/test/java/quartzspan/replication/HandoverTest.java
+++ b/src/test/java/quartzspan/replication/HandoverTest.java
@@ -123,6 +123,18 @@
         assertFalse(view.voters().contains(gone.name), view.text());
     }
 
+    @Test
+    void aBlankReplicaMayEndAtOnce() {
+        SimulatedCluster cluster = calm(1);
+        Machine wiped = backup(cluster);
+        wiped.kill();
+        wiped.disk = new ArrayList<>();
+        wiped.start(false);
+        assertTrue(wiped.replica.blank());
+        wiped.replica.leave(cluster.now);
+        assertTrue(wiped.replica.left(cluster.now));
+    }
+
     @Test
     void withoutAnybodyToTakeOverAPrimaryKeepsTheLeadUntilItEnds() {
         SimulatedCluster cluster = calm(1);
