--- a/src/main/java/quartzspan/store/SlotStore.java
+++ b/src/main/java/quartzspan/store/SlotStore.java
@@ -32,17 +32,24 @@
     private boolean torn;
     /** Whether the log's first bytes may not be this generation's. */
     private boolean headless;
+    /** Whether the log's name is known to be on the disk. */
+    private boolean logNamed;
 
     public SlotStore(Disk disk) {
         this.disk = disk;
     }
 
-    /** Reads what is there. To be called first. */
+    /**
+     * Reads what is there. To be called first.
+     *
+     * <p>A process that was killed may have written what it did not sync. It is read here, so it is synced here, before
+     * anybody builds on it.
+     */
     public Contents open() {
         byte[] state = null;
         boolean any = false;
         for (String name : SLOTS) {
-            byte[] file = disk.read(name);
+            byte[] file = readSynced(name);
             any |= file != null;
             if (file != null && file.length >= HEAD) {
                 ByteBuffer b = ByteBuffer.wrap(file);
@@ -58,7 +65,11 @@
                 }
             }
         }
-        byte[] log = disk.read(LOG);
+        byte[] log = readSynced(LOG);
+        if (any || log != null) {
+            disk.syncFolder();
+        }
+        logNamed = log != null;
         List<byte[]> records = new ArrayList<>();
         if (state == null) {
             // Before the first checkpoint is whole nothing was ever promised: what there is was begun and not finished.
@@ -85,6 +96,14 @@
         return new Contents(state, records);
     }
 
+    private byte[] readSynced(String name) {
+        byte[] file = disk.read(name);
+        if (file != null) {
+            disk.sync(name);
+        }
+        return file;
+    }
+
     private byte[] record(byte[] log, int at) {
         if (log.length - at < RECORD) {
             return null;
@@ -162,6 +181,7 @@
         generation = 0;
         end = 0;
         torn = false;
+        logNamed = false;
     }
 
     private void restartLog() {
@@ -170,8 +190,9 @@
         disk.truncate(LOG, 0);
         disk.write(LOG, 0, ByteBuffer.allocate(8).putLong(generation).array());
         disk.sync(LOG);
-        if (generation <= 2) {
+        if (!logNamed) {
             disk.syncFolder();
+            logNamed = true;
         }
         headless = false;
         torn = false;
