--- a/src/main/java/quartzspan/controlplane/CallTable.java
+++ b/src/main/java/quartzspan/controlplane/CallTable.java
@@ -9,31 +9,38 @@
 import java.util.Map;
 import mulleinfront.proxy.Frontend.Client;
 import mulleinfront.proxy.Upstream.Answer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import quartzspan.common.FleetException;
 import quartzspan.common.JsonLines;
 
 /** The calls that servers and operators make, each declared beside its handler. */
 final class CallTable {
+    private static final Logger LOG = LoggerFactory.getLogger(CallTable.class);
+
     /** One call; {@code rest} is what follows the declared path. */
     interface Handler {
         void handle(Client client, HttpRequest in, byte[] body, String rest);
     }
 
-    private record Key(String method, String path) {}
-
-    private final Map<Key, Handler> calls = new LinkedHashMap<>();
+    /** By method and path: a string, for a record's hash and equality are built by the JVM at their first use, during a start. */
+    private final Map<String, Handler> calls = new LinkedHashMap<>();
 
     /** Declares a call; a path that ends with a slash takes a name after it. */
     CallTable on(String method, String path, Handler handler) {
-        calls.put(new Key(method, path), handler);
+        calls.put(key(method, path), handler);
         return this;
     }
 
+    private static String key(String method, String path) {
+        return method + ' ' + path;
+    }
+
     void take(Client client, HttpRequest in, byte[] body) {
         String path = in.uri().split("\\?", 2)[0];
         int slash = path.lastIndexOf('/');
-        Handler whole = calls.get(new Key(in.method().name(), path));
-        Handler named = calls.get(new Key(in.method().name(), path.substring(0, slash + 1)));
+        Handler whole = calls.get(key(in.method().name(), path));
+        Handler named = calls.get(key(in.method().name(), path.substring(0, slash + 1)));
         try {
             if (whole != null) {
                 whole.handle(client, in, body, "");
@@ -49,6 +56,16 @@
             }
         } catch (FleetException why) {
             refuse(client, why);
+        } catch (RuntimeException why) {
+            // The caller goes on to another machine; without an answer it would have to wait for its own time to run
+            // out.
+            LOG.error("{} {} failed", in.method(), path, why);
+            error(
+                    client,
+                    HttpResponseStatus.INTERNAL_SERVER_ERROR,
+                    "FAILED",
+                    "the call failed",
+                    "ask another machine of the core");
         }
     }
 
--- a/src/main/java/quartzspan/promptindex/PromptIndex.java
+++ b/src/main/java/quartzspan/promptindex/PromptIndex.java
@@ -9,7 +9,14 @@
  * numbers and is asked for whole. It may always be a little wrong: what it says is where to look, never what may be used.
  */
 public final class PromptIndex {
+    /**
+     * Time for the answer to a question for the whole, before it is asked again. Every report that comes meanwhile shows the
+     * same gap; a question for each would bring the whole as often, the more of them the slower the link is.
+     */
+    private static final long ASK_AGAIN_MS = 1_500;
+
     private static final class ServerParts {
+        long askedAt = Long.MIN_VALUE / 2;
         long stream;
         long seq;
         final Map<Long, Integer> parts = new HashMap<>();
@@ -27,8 +34,12 @@
                 .getAsLong();
     }
 
-    /** Takes a report; whether the whole must be asked for, since something is missing before it. */
-    public boolean take(PromptIndexUpdate c) {
+    /**
+     * Takes a report; whether the whole is to be asked for now, since something is missing before it.
+     *
+     * @param now milliseconds of a steady clock
+     */
+    public boolean take(long now, PromptIndexUpdate c) {
         ServerParts s = servers.computeIfAbsent(c.server(), k -> new ServerParts());
         if (c.kind() == PromptIndexUpdate.Kind.WHOLE) {
             if (c.stream() == s.stream && c.seq() < s.seq) {
@@ -36,7 +47,7 @@
             }
             s.parts.clear();
         } else if (c.stream() != s.stream || c.seq() > s.seq + 1) {
-            return true;
+            return asks(now, s);
         } else if (c.seq() <= s.seq) {
             return false;
         }
@@ -48,6 +59,14 @@
         return false;
     }
 
+    private static boolean asks(long now, ServerParts s) {
+        if (now - s.askedAt < ASK_AGAIN_MS) {
+            return false;
+        }
+        s.askedAt = now;
+        return true;
+    }
+
     private static void put(ServerParts s, long part, int tokens) {
         if (tokens > 0) {
             s.parts.put(part, tokens);
--- a/src/main/java/quartzspan/replication/Candidacy.java
+++ b/src/main/java/quartzspan/replication/Candidacy.java
@@ -189,7 +189,9 @@
         voter.learn(reply.view());
         latest = voter.view();
         replies.put(from, reply);
-        if (reply.promised().isAbove(voter.promised())) {
+        if (!mayLead()) {
+            listener.givenUp();
+        } else if (reply.promised().isAbove(voter.promised())) {
             voter.promise(reply.promised());
             startWithPreVote();
         } else {
@@ -197,6 +199,11 @@
         }
     }
 
+    /** Whether the newest view that is known has this replica among its voters; else it has been dropped. */
+    private boolean mayLead() {
+        return latest.voters().contains(context.self());
+    }
+
     private void countPreVotes() {
         if (step == Step.PRE_VOTE && latest.isQuorum(granting())) {
             startWithVote();
@@ -289,6 +296,11 @@
             wantedVoters = null;
         }
         latest = newest;
+        if (!mayLead()) {
+            voter.learn(latest);
+            listener.givenUp();
+            return;
+        }
         if (!latest.isQuorum(granting)) {
             return;
         }
@@ -348,16 +360,23 @@
         able.remove(context.self());
         able.sort(Comparator.<String, Boolean>comparing(plan.avoided()::contains)
                 .thenComparing(name -> !latest.copies().contains(name)));
-        int wanted = Math.min(context.losses() + 1, voters.size());
-        if (able.size() + 1 < wanted) {
+        int needed = Math.min(context.losses() + 1, voters.size());
+        if (able.size() + 1 < needed) {
             return null;
         }
+        int count = Math.min(wantedCopies(voters, context.losses()), able.size() + 1);
         List<String> copies = new ArrayList<>();
         copies.add(context.self());
-        copies.addAll(able.subList(0, wanted - 1));
+        copies.addAll(able.subList(0, count - 1));
         return copies;
     }
 
+    /** One copy more than may be lost at once, and one for each voter more than that needs. */
+    static int wantedCopies(List<String> voters, int losses) {
+        int spare = Math.max(0, voters.size() - (2 * losses + 1));
+        return Math.min(losses + 1 + spare, voters.size());
+    }
+
     private void fetch() {
         if (source.equals(context.self())) {
             copyState(null);
