--- a/src/test/java/quartzspan/replication/ReplicaGuardsTest.java
+++ b/src/test/java/quartzspan/replication/ReplicaGuardsTest.java
@@ -263,6 +263,42 @@
         assertEquals(1, replica.copyIndex());
     }
 
+    @Test
+    void aCopyIsAcknowledgedOnlyOnceItIsOnTheDisk() {
+        start(B, true);
+        now += 5_000;
+        replica.onMessage(now, A, snapshot(ballot(3, A), 9));
+        assertEquals(null, last(Kind.COPY_REPLY));
+        persisting.forEach(record -> replica.onPersisted(now, record[0], false));
+        persisting.clear();
+        assertEquals(null, last(Kind.COPY_REPLY), "the disk refused");
+        replica.onMessage(now, A, snapshot(ballot(3, A), 9));
+        sync();
+        assertTrue(last(Kind.COPY_REPLY).ok());
+    }
+
+    /** The copies of the newest view hold what it answered; a copy from before it may not. */
+    @Test
+    void aCopyFromBeforeTheNewestViewIsNoSource() {
+        start(A, true);
+        tickUntil(Kind.PRE_VOTE);
+        replica.onMessage(
+                now,
+                C,
+                ReplicaMessage.of(Kind.PRE_VOTE_REPLY, last(Kind.PRE_VOTE).ballot())
+                        .withOk(true));
+        sync();
+        Ballot ballot = last(Kind.VOTE).ballot();
+        Ballot newer = new Ballot(0, B, 1);
+        replica.onMessage(now, C, vote(ballot, view(newer, B, A), Ballot.NONE, -1));
+        sync();
+        assertEquals(null, last(Kind.COPY), "its own copy is from before that view");
+        replica.onMessage(now, B, vote(ballot, view(newer, B, A), newer, 4));
+        sync();
+        assertEquals("CANDIDATE", replica.role());
+        assertTrue(sent.stream().anyMatch(s -> s.message().kind() == Kind.FETCH && s.to().equals(B)));
+    }
+
     @Test
     void nobodyIsGrantedABallotWhileThePrimaryIsHeard() {
         start(C, true);
@@ -434,6 +470,9 @@
                 ReplicaMessage.of(Kind.COPY_REPLY, ballot).withOk(true).withPromise(ballot, false);
         replica.onMessage(now, B, copied.withCopy(ballot, 1));
         assertEquals(null, last(Kind.ACCEPT), "its own vote for the view is not on its disk");
+        now += 300;
+        replica.onTick(now);
+        assertEquals(null, last(Kind.ACCEPT), "nor when it asks again");
         sync();
         assertEquals(List.of(A, B), last(Kind.ACCEPT).view().copies());
         assertFalse(replica.primary(), "accepted by itself alone");
