--- a/src/main/java/quartzspan/controlplane/RolloutActions.java
+++ b/src/main/java/quartzspan/controlplane/RolloutActions.java
@@ -3,6 +3,7 @@
 import jakarta.json.JsonArray;
 import jakarta.json.JsonObject;
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.LongSupplier;
@@ -34,6 +35,10 @@
     private final Gossip gossip;
     private final ServerClient servers;
     private final RolloutCoordinator coordinator;
+    /** Named weights that were logged, by model. */
+    private final Map<String, Long> loggedWeights = new HashMap<>();
+    /** The progress that was last logged, by model. */
+    private final Map<String, RolloutPlanner.Status> loggedProgress = new HashMap<>();
 
     RolloutActions(
             Settings settings,
@@ -55,9 +60,19 @@
     }
 
     void onTick(long now, Registry registry) {
+        logNamedWeights(registry.state().weights());
         coordinator.onTick(now, registry::servers);
     }
 
+    private void logNamedWeights(Map<String, Long> weights) {
+        weights.forEach((model, version) -> {
+            Long logged = loggedWeights.put(model, version);
+            if (!version.equals(logged)) {
+                LOG.info("version {} of {} is named", version, model);
+            }
+        });
+    }
+
     private Optional<RolloutCoordinator.Leadership> leadership() {
         Replica replica = replicaHost.replica();
         if (!replica.isPrimary()) {
@@ -119,6 +134,33 @@
         });
     }
 
+    @Override
+    public void progress(RolloutPlanner.Status status) {
+        RolloutPlanner.Status logged = loggedProgress.get(status.model());
+        if (logged != null && logged.version() == status.version() && logged.limit() == status.limit()) {
+            return;
+        }
+        loggedProgress.put(status.model(), status);
+        LOG.info(
+                "rollout of {} to version {}: {} of {} servers lack it, {} are under an order, at most {} at once",
+                status.model(),
+                status.version(),
+                status.behind(),
+                status.servers(),
+                status.loading(),
+                status.limit());
+    }
+
+    @Override
+    public void loaded(RolloutPlanner.Loaded loaded) {
+        LOG.info(
+                "server {} has version {} of {}, {} ms after its first order",
+                loaded.server(),
+                loaded.version(),
+                loaded.model(),
+                loaded.tookMs());
+    }
+
     private void onReport(Server server, JsonObject report) {
         boolean busy = report.getBoolean("busy", false);
         if (!busy && report.get("models") instanceof JsonArray models && !models.isEmpty()) {
--- a/src/main/java/quartzspan/controlplane/RolloutCoordinator.java
+++ b/src/main/java/quartzspan/controlplane/RolloutCoordinator.java
@@ -62,6 +62,12 @@
 
         /** Asks a server which weights it has. */
         void report(Server server);
+
+        /** How far a rollout is; called at each tick of the lease holder. */
+        void progress(RolloutPlanner.Status status);
+
+        /** A server has the weights that it was ordered to load. */
+        void loaded(RolloutPlanner.Loaded loaded);
     }
 
     private record Announced(long dueAt, Order order) {}
@@ -128,6 +134,8 @@
         List<Server> servers = known.get();
         announce(now, leadership.get(), servers);
         report(now, servers);
+        rollout.takeLoaded().forEach(actions::loaded);
+        rollout.statuses().forEach(actions::progress);
     }
 
     private void resign() {
--- a/src/main/java/quartzspan/controlplane/RolloutPlanner.java
+++ b/src/main/java/quartzspan/controlplane/RolloutPlanner.java
@@ -1,8 +1,11 @@
 package quartzspan.controlplane;
 
+import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import quartzspan.registry.RegistryEntry;
 import quartzspan.registry.Server;
 
@@ -24,10 +27,26 @@
     /** Whom to order what. */
     record Order(Server server, String model, long version) {}
 
+    /** A server that has the weights that it was ordered to load, {@code tookMs} after its first order. */
+    record Loaded(String server, String model, long version, long tookMs) {}
+
+    /**
+     * How far a rollout is.
+     *
+     * @param servers servers that have the model or are to have it
+     * @param behind those of them that lack the version
+     * @param loading those that are under an order
+     * @param limit how many may be at once
+     */
+    record Status(String model, long version, int servers, int behind, int loading, long limit) {}
+
     private record Progress(long version, long startedAt) {}
 
     private final long applyMs;
     private final Map<String, Long> orderedAt = new HashMap<>();
+    private final Map<String, Long> firstOrderedAt = new HashMap<>();
+    private final List<Loaded> loaded = new ArrayList<>();
+    private final Map<String, Status> statuses = new TreeMap<>();
     /** Rollouts that some server still lacks, by model. */
     private final Map<String, Progress> running = new HashMap<>();
 
@@ -60,10 +79,12 @@
                     List<Server> of = loadable(w.getKey(), servers);
                     List<Server> behind =
                             of.stream().filter(s -> s.weights() < w.getValue()).toList();
-                    orderedAt.keySet().removeIf(id -> of.stream()
-                            .anyMatch(s -> s.id().equals(id) && s.weights() >= w.getValue()));
+                    of.stream().filter(s -> s.weights() >= w.getValue()).forEach(s -> finished(now, s));
                     long under = behind.stream().filter(s -> busy(now, s)).count();
                     long atOnce = atOnce(now, w.getKey(), w.getValue(), of.size(), behind.size());
+                    statuses.put(
+                            w.getKey(),
+                            new Status(w.getKey(), w.getValue(), of.size(), behind.size(), (int) under, atOnce));
                     return behind.stream()
                             .filter(s -> !busy(now, s))
                             .limit(Math.max(0, atOnce - under))
@@ -72,6 +93,26 @@
                 .toList();
     }
 
+    private void finished(long now, Server server) {
+        orderedAt.remove(server.id());
+        Long since = firstOrderedAt.remove(server.id());
+        if (since != null) {
+            loaded.add(new Loaded(server.id(), server.model(), server.weights(), now - since));
+        }
+    }
+
+    /** The servers that have finished a load since the last call. */
+    List<Loaded> takeLoaded() {
+        List<Loaded> taken = List.copyOf(loaded);
+        loaded.clear();
+        return taken;
+    }
+
+    /** How far each rollout is, as of the last {@link #due}. */
+    Collection<Status> statuses() {
+        return statuses.values();
+    }
+
     /**
      * How many servers may load at once. A load takes as long as the runs before it, so a fixed number at once may take
      * longer than is allowed; where fewer servers than scheduled have the weights, so many more load.
@@ -100,6 +141,7 @@
     /** An order is about to be sent. */
     void ordered(long now, String id) {
         orderedAt.put(id, now);
+        firstOrderedAt.putIfAbsent(id, now);
     }
 
     /** Servers under an order. */
--- a/src/main/java/quartzspan/frontend/FrontendProxy.java
+++ b/src/main/java/quartzspan/frontend/FrontendProxy.java
@@ -84,6 +84,8 @@
     private final CountDownLatch ended = new CountDownLatch(1);
     private final ShutdownSchedule shutdown;
     private boolean ready;
+    /** Requests that were rejected because they might not have ended before the process. */
+    private int rejectedInShutdown;
 
     private FrontendProxy(Settings settings, List<String> seeds, EventLoopGroup group, EventLoop loop) {
         this.settings = settings;
@@ -178,9 +180,13 @@
         if (shutdown.closesIdleConnections(now)) {
             httpServer.closeIdle();
         }
-        if (shutdown.isOver(now, inFlight.isEmpty() && httpServer.isIdle())) {
+        if (ended.getCount() > 0 && shutdown.isOver(now, inFlight.isEmpty() && httpServer.isIdle())) {
             // From here to the process's end nothing more may be read: it would not be answered.
             httpServer.close();
+            LOG.info(
+                    "shutdown complete, {} requests rejected meanwhile, {} cut off",
+                    rejectedInShutdown,
+                    inFlight.size());
             ended.countDown();
         }
     }
@@ -266,7 +272,7 @@
     }
 
     private void becomeReady() {
-        if (!ready && isFresh()) {
+        if (!ready && isFresh() && !shutdown.begun()) {
             ready = true;
             LOG.info("ready, configuration version {}", configuration().version());
         }
@@ -321,6 +327,7 @@
         }
         long deadlineUs = RequestClassifier.deadlineUs(route, in, receivedAtUs);
         if (!shutdown.mayForward(nowMs(), deadlineUs / 1000)) {
+            rejectedInShutdown++;
             reject(client, retryAfterUs(route));
             return;
         }
--- a/src/test/java/quartzspan/controlplane/RolloutCoordinatorTest.java
+++ b/src/test/java/quartzspan/controlplane/RolloutCoordinatorTest.java
@@ -97,6 +97,12 @@
 
         @Override
         public void report(Server server) {}
+
+        @Override
+        public void progress(RolloutPlanner.Status status) {}
+
+        @Override
+        public void loaded(RolloutPlanner.Loaded loaded) {}
     }
 
     private static Server server(String id) {
