--- a/src/main/java/quartzspan/controlplane/RolloutCoordinator.java
+++ b/src/main/java/quartzspan/controlplane/RolloutCoordinator.java
@@ -201,7 +201,7 @@
 
     private void announce(long now, Leadership leadership, List<Server> servers) {
         for (RolloutPlanner.Order due : rollout.due(now, leadership.weights(), servers)) {
-            rollout.ordered(now, due.server().id());
+            rollout.ordered(now, due);
             reportAt.put(due.server().id(), now + REPORT_INTERVAL_MS);
             actions.announce(due.server(), due.version());
             announced.add(new Announced(
--- a/src/main/java/quartzspan/controlplane/RolloutPlanner.java
+++ b/src/main/java/quartzspan/controlplane/RolloutPlanner.java
@@ -139,9 +139,9 @@
     }
 
     /** An order is about to be sent. */
-    void ordered(long now, String id) {
-        orderedAt.put(id, now);
-        firstOrderedAt.putIfAbsent(id, now);
+    void ordered(long now, Order order) {
+        orderedAt.put(order.server().id(), now);
+        firstOrderedAt.putIfAbsent(order.server().id(), now);
     }
 
     /** Servers under an order. */
--- /dev/null
+++ b/src/test/java/quartzspan/controlplane/SimulatedRollout.java
@@ -0,0 +1,93 @@
+package quartzspan.controlplane;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.TreeMap;
+import quartzspan.registry.RegistryEntry;
+import quartzspan.registry.Server;
+
+/** A rollout to servers that load for a given time, under namings at given times, tick by tick. */
+final class SimulatedRollout {
+    static final long APPLY_MS = 10_000;
+    private static final String MODEL = "m";
+    private static final long TICK_MS = 50;
+
+    private final RolloutPlanner planner = new RolloutPlanner(APPLY_MS);
+    private final NavigableMap<Long, Long> namedAtMs = new TreeMap<>();
+    private final List<LoadingServer> servers = new ArrayList<>();
+    private long nowMs;
+
+    /** A server, as it is. */
+    static final class LoadingServer {
+        final String id;
+        private final long loadMs;
+        private long weights = 1;
+        private long loading;
+        private long loadedAtMs;
+
+        LoadingServer(String id, long loadMs) {
+            this.id = id;
+            this.loadMs = loadMs;
+        }
+
+        /** An order: a server that is under another one does not take it. */
+        private void order(long now, long version) {
+            if (loading == 0) {
+                loading = version;
+                loadedAtMs = now + loadMs;
+            }
+        }
+
+        private void onTick(long now) {
+            if (loading > 0 && now >= loadedAtMs) {
+                weights = loading;
+                loading = 0;
+            }
+        }
+
+        private Server listed() {
+            return new Server(id, "s", "10.0.0.1:1", "z", MODEL, weights, 0, 1, RegistryEntry.State.READY);
+        }
+    }
+
+    SimulatedRollout add(LoadingServer server) {
+        servers.add(server);
+        return this;
+    }
+
+    /** Names a version, to be due {@link #APPLY_MS} later. */
+    SimulatedRollout name(long version) {
+        namedAtMs.put(version, nowMs);
+        return this;
+    }
+
+    /** Goes on for some time. */
+    SimulatedRollout run(long ms) {
+        for (long end = nowMs + ms; nowMs < end; nowMs += TICK_MS) {
+            servers.forEach(server -> server.onTick(nowMs));
+            Map<String, Long> wanted = Map.of(MODEL, namedAtMs.lastKey());
+            List<Server> listed = servers.stream().map(LoadingServer::listed).toList();
+            for (RolloutPlanner.Order order : planner.due(nowMs, wanted, listed)) {
+                planner.ordered(nowMs, order);
+                server(order.server().id()).order(nowMs, order.version());
+            }
+        }
+        return this;
+    }
+
+    private LoadingServer server(String id) {
+        return servers.stream().filter(s -> s.id.equals(id)).findFirst().orElseThrow();
+    }
+
+    /** The servers that begin requests on weights whose successor is overdue: a server under an order begins none. */
+    List<String> overdue() {
+        return servers.stream().filter(this::isOverdue).map(server -> server.id).toList();
+    }
+
+    private boolean isOverdue(LoadingServer server) {
+        Map.Entry<Long, Long> oldestLacked = namedAtMs.higherEntry(server.weights);
+        return server.loading == 0 && oldestLacked != null && nowMs - oldestLacked.getValue() > APPLY_MS;
+    }
+}
