Rollout: each naming of weights keeps its own deadline, the earliest is served first

Cause: RolloutPlanner kept one schedule a model, restarted it at each naming, and took servers in the order of their ids. A server that the rollout before had not reached was last again, and its time counted from the newest naming, so that two or three namings in a row left it out for good. Class of fault: a newer goal resets the progress and the deadline of an older one (starvation). Now WeightsDeadlines keeps a deadline for each naming, a server is bound by the oldest one that it lacks, and the servers with the earliest deadline are ordered first; every core machine observes namings, so a new primary knows them.

--- a/src/main/java/quartzspan/controlplane/ControlPlane.java
+++ b/src/main/java/quartzspan/controlplane/ControlPlane.java
@@ -103,7 +103,15 @@
         this.gossip = new Gossip(self, true, seeds, registry, transport::send, Gossip.firstNonce(System.nanoTime()));
         this.httpServer = new HttpServer(this, loop);
         this.drainAcknowledger = new DrainAcknowledger(gossip);
-        this.rollout = new RolloutActions(settings, self, this::nowMs, replicaHost, heartbeats, gossip, servers);
+        this.rollout = new RolloutActions(
+                settings,
+                self,
+                this::nowMs,
+                replicaHost,
+                heartbeats,
+                gossip,
+                servers,
+                new WeightsDeadlines(settings.bounds().versionApplyMs()));
         this.prefixCacheIndexer = new PrefixCacheIndexer(this::nowMs, self, registry, gossip, transport, servers);
         this.shutdown = new GracefulShutdown(new ReplicaHandover(), gracePeriodMs());
         this.router = router();
--- a/src/main/java/quartzspan/controlplane/RolloutActions.java
+++ b/src/main/java/quartzspan/controlplane/RolloutActions.java
@@ -24,8 +24,6 @@
 /** Carries out the weights rollout: claims it in the control state, calls servers, and updates the registry. */
 final class RolloutActions implements RolloutCoordinator.Actions {
     private static final Logger LOG = LoggerFactory.getLogger(RolloutActions.class);
-    private static final int OK = 200;
-    private static final int ACCEPTED = 202;
 
     private final String self;
     private final String nodeName;
@@ -34,6 +32,7 @@
     private final HeartbeatTracker heartbeats;
     private final Gossip gossip;
     private final ServerClient servers;
+    private final WeightsDeadlines deadlines;
     private final RolloutCoordinator coordinator;
     /** Named weights that were logged, by model. */
     private final Map<String, Long> loggedWeights = new HashMap<>();
@@ -47,7 +46,9 @@
             ReplicaHost replicaHost,
             HeartbeatTracker heartbeats,
             Gossip gossip,
-            ServerClient servers) {
+            ServerClient servers,
+            WeightsDeadlines deadlines) {
+        this.deadlines = deadlines;
         this.self = self;
         this.nodeName = settings.nodeName();
         this.clockMs = clockMs;
@@ -55,12 +56,14 @@
         this.heartbeats = heartbeats;
         this.gossip = gossip;
         this.servers = servers;
-        RolloutPlanner planner = new RolloutPlanner(settings.bounds().versionApplyMs());
+        RolloutPlanner planner = new RolloutPlanner(deadlines);
         this.coordinator = new RolloutCoordinator(self, settings.bounds().leaseMs(), planner, this::leadership, this);
     }
 
     void onTick(long now, Registry registry) {
-        logNamedWeights(registry.state().weights());
+        Map<String, Long> named = registry.state().weights();
+        logNamedWeights(named);
+        deadlines.observe(now, named);
         coordinator.onTick(now, registry::servers);
     }
 
@@ -118,7 +121,7 @@
                 RolloutCoordinator.ORDER_TIMEOUT_MS,
                 () -> coordinator.mayOrder(clockMs.getAsLong(), order),
                 (status, body) -> {
-                    if (status != OK && status != ACCEPTED) {
+                    if (status != RolloutCoordinator.STATUS_DONE && status != RolloutCoordinator.STATUS_ACCEPTED) {
                         LOG.info("server {} answers an order with status {}", server.id(), status);
                     }
                     coordinator.onResponse(clockMs.getAsLong(), order, status);
@@ -128,7 +131,7 @@
     @Override
     public void report(Server server) {
         servers.get(server, "/quartzspan/report", Map.of(), (status, body) -> {
-            if (status == OK) {
+            if (status == RolloutCoordinator.STATUS_DONE) {
                 onReport(server, JsonFields.parse(body));
             }
         });
@@ -152,20 +155,22 @@
     }
 
     @Override
-    public void loaded(RolloutPlanner.Loaded loaded) {
+    public void loaded(LoadTracker.Finished load) {
         LOG.info(
                 "server {} has version {} of {}, {} ms after its first order",
-                loaded.server(),
-                loaded.version(),
-                loaded.model(),
-                loaded.tookMs());
+                load.server().id(),
+                load.server().weights(),
+                load.server().model(),
+                load.tookMs());
     }
 
     private void onReport(Server server, JsonObject report) {
+        long now = clockMs.getAsLong();
         boolean busy = report.getBoolean("busy", false);
+        coordinator.onReport(now, server.id(), busy);
         if (!busy && report.get("models") instanceof JsonArray models && !models.isEmpty()) {
             long version = JsonFields.wholeNumber(models.getJsonObject(0), "version", 0);
-            broadcast(heartbeats.onWeightsReported(clockMs.getAsLong(), server.id(), version));
+            broadcast(heartbeats.onWeightsReported(now, server.id(), version));
         }
     }
 }
--- a/src/main/java/quartzspan/controlplane/RolloutCoordinator.java
+++ b/src/main/java/quartzspan/controlplane/RolloutCoordinator.java
@@ -31,6 +31,12 @@
     /** Between telling proxies that a server will load weights and ordering it to. */
     static final long ANNOUNCE_MS = 60;
 
+    static final int STATUS_DONE = 200;
+    static final int STATUS_ACCEPTED = 202;
+    private static final int STATUS_CONFLICT = 409;
+    private static final int STATUS_FENCED = 412;
+    private static final int FIRST_SERVER_ERROR = 500;
+
     private static final long REPORT_INTERVAL_MS = 250;
     private static final long REPORT_EXPIRY_MS = 10_000;
 
@@ -67,7 +73,7 @@
         void progress(RolloutPlanner.Status status);
 
         /** A server has the weights that it was ordered to load. */
-        void loaded(RolloutPlanner.Loaded loaded);
+        void loaded(LoadTracker.Finished load);
     }
 
     private record Announced(long dueAt, Order order) {}
@@ -118,6 +124,7 @@
             return;
         }
         follow(now, leadership.get());
+        rollout.observe(now, leadership.get().weights());
         if (leadership.get().weights().isEmpty()) {
             return;
         }
@@ -126,7 +133,6 @@
             return;
         }
         if (!holdsLease(now, leadership.get())) {
-            rollout.observe(now, leadership.get().weights(), known.get());
             return;
         }
         servedToken = fencingToken;
@@ -134,7 +140,7 @@
         List<Server> servers = known.get();
         announce(now, leadership.get(), servers);
         report(now, servers);
-        rollout.takeLoaded().forEach(actions::loaded);
+        rollout.takeFinished().forEach(actions::loaded);
         rollout.statuses().forEach(actions::progress);
     }
 
@@ -231,15 +237,27 @@
                 .toString();
     }
 
-    /** How an order ended; see {@link ServerClient.Answered}. */
+    /** How an order ended; see {@link ServerClient.ResponseListener}. */
     void onResponse(long now, Order order, int status) {
-        boolean refused = status == ServerClient.NOT_SENT || status == 409 || status >= 500;
-        if (refused) {
-            rollout.refused(now, order.server().id());
+        String server = order.server().id();
+        if (status == STATUS_DONE || status == STATUS_ACCEPTED || status == STATUS_CONFLICT) {
+            // In conflict is a server that is under an earlier order.
+            rollout.confirmed(now, server);
+        } else if (status == ServerClient.NOT_SENT || status >= FIRST_SERVER_ERROR) {
+            rollout.refused(now, server);
         }
-        if (status == 412 && order.fencingToken() == fencingToken) {
+        if (status == STATUS_FENCED && order.fencingToken() == fencingToken) {
             // The server has seen a higher token: only a new claim can be above it.
             claimGranted = false;
         }
     }
+
+    /** A server has reported whether it is loading. */
+    void onReport(long now, String server, boolean loading) {
+        if (loading) {
+            rollout.confirmed(now, server);
+        } else {
+            rollout.idle(now, server);
+        }
+    }
 }
