Proxy: a request without X-Model that a server rejects for its version gets an answer

Callers saw: silence, far beyond the deadline. Cause: the model was taken from the request's header; without one the look-up among the named weights, an unmodifiable map, threw NullPointerException, and the request in flight was lost with the connection's handler. The model is the server's, so it is taken from the registry.

--- a/src/main/java/quartzspan/frontend/EndpointDirectory.java
+++ b/src/main/java/quartzspan/frontend/EndpointDirectory.java
@@ -29,7 +29,8 @@
     private final PrefixAwarePlacement placement;
     private final LongSupplier clockUs;
     private final Map<String, ConnectionPool.Endpoint> endpoints = new HashMap<>();
-    private final Map<String, String> addresses = new HashMap<>();
+    /** The servers that there are, as last announced. */
+    private final Map<String, Server> servers = new HashMap<>();
     /** Version of the weights of each server, as last reported or seen. */
     private final Map<String, Long> weights = new HashMap<>();
     /** The services that the bounds of connections were last taken from. */
@@ -55,7 +56,8 @@
 
     /** The address of a server as text; null if it is gone. */
     String address(String server) {
-        return addresses.get(server);
+        Server known = servers.get(server);
+        return known == null ? null : known.address();
     }
 
     /** Version of a server's weights; 0 if unknown. */
@@ -64,9 +66,10 @@
     }
 
     /** A server rejected a request for its version: it has other weights by now, most likely those that were named last. */
-    void onVersionMismatch(String server, String model) {
+    void onVersionMismatch(String server) {
         if (weights(server) > 0) {
-            long named = registry.state().weights().getOrDefault(model, 0L);
+            long named =
+                    registry.state().weights().getOrDefault(servers.get(server).model(), 0L);
             weights.put(server, Math.max(weights(server), named));
         }
     }
@@ -124,7 +127,7 @@
         endpoint.listed(null, false, 0);
         connectionPool.closeIdle(endpoint);
         endpoints.remove(id);
-        addresses.remove(id);
+        servers.remove(id);
         weights.remove(id);
         prefixCacheIndex.forget(id);
     }
@@ -132,7 +135,8 @@
     private void update(Server server) {
         boolean ready = server.state() == RegistryEntry.State.READY;
         ConnectionPool.Endpoint endpoint = endpoints.computeIfAbsent(server.id(), ConnectionPool.Endpoint::new);
-        boolean moved = !server.address().equals(addresses.put(server.id(), server.address()));
+        Server before = servers.put(server.id(), server);
+        boolean moved = before == null || !server.address().equals(before.address());
         if (moved || !ready) {
             connectionPool.closeIdle(endpoint);
         }
--- a/src/main/java/quartzspan/frontend/ProxiedRequest.java
+++ b/src/main/java/quartzspan/frontend/ProxiedRequest.java
@@ -249,7 +249,7 @@
             if (server.equals(head.headers().get("X-Instance-Id"))) {
                 // The same server has only changed its weights: it does not count as another attempt.
                 nextServer = sends < MAX_SENDS ? server : null;
-                proxy.endpoints().onVersionMismatch(server, request.headers().get("X-Model"));
+                proxy.endpoints().onVersionMismatch(server);
             } else {
                 proxy.endpoints().placement().moved(proxy.now(), server);
             }
--- a/src/test/java/quartzspan/frontend/FleetFixture.java
+++ b/src/test/java/quartzspan/frontend/FleetFixture.java
@@ -174,6 +174,15 @@
      * and the proxy has no connection to the server yet.
      */
     Server server(String id, Consumer<Seen> script) throws Exception {
+        return server(id, "", script);
+    }
+
+    /** The same, of a server that has some weights. */
+    Server serverWithWeights(String id, String model, long version, Consumer<Seen> script) throws Exception {
+        return server(id, ",\"models\":[{\"name\":\"" + model + "\",\"version\":" + version + "}]", script);
+    }
+
+    private Server server(String id, String models, Consumer<Seen> script) throws Exception {
         Server server = keep(new Server(seen -> {
             if ("warm".equals(seen.message().header("x-attempt-id"))) {
                 seen.answer(200, "X-Attempt-Id: warm\r\nX-Server-Seal: w\r\nConnection: close\r\n", "");
@@ -181,7 +190,7 @@
                 script.accept(seen);
             }
         }));
-        listed(id, server.address());
+        listed(id, server.address(), models);
         for (int calls = 0; server.seen.isEmpty(); calls++) {
             assertTrue(calls < MOST_CALLS, "the proxy forwards to " + id);
             call(frontPort, "POST /once" + service + "/warm", "X-Attempt-Id: warm\r\n", "");
@@ -193,15 +202,21 @@
 
     /** Makes a server known that a test plays by itself. */
     void listen(String id, ServerSocket socket) throws Exception {
-        listed(id, "127.0.0.1:" + socket.getLocalPort());
+        listed(id, "127.0.0.1:" + socket.getLocalPort(), "");
     }
 
-    private void listed(String id, String address) throws IOException {
+    private void listed(String id, String address, String models) throws IOException {
         String heartbeat = "{\"service\":\"s" + service + "\",\"address\":\"" + address
-                + "\",\"zone\":\"z\",\"state\":\"ready\",\"call_count\":1}";
+                + "\",\"zone\":\"z\",\"state\":\"ready\",\"call_count\":1" + models + "}";
         untilStatus(200, controlPort, "POST /quartzspan/Instances.Heartbeat/" + id, "", heartbeat);
     }
 
+    /** Names the weights that servers of a model are to have. */
+    static void nameWeights(String model, long version) throws IOException {
+        String body = "{\"model\":\"" + model + "\",\"version\":" + version + "}";
+        untilStatus(200, controlPort, "POST /quartzspan/version-put", "", body);
+    }
+
     /** A client's connection to the proxy. */
     Client client() throws Exception {
         return keep(new Client(frontPort));
