Rollout: a server whose weights are overdue runs nothing on them, ordered or not

A server that crashes and returns with its old weights after their deadline got requests from its first heartbeat on, until an order reached it; so did all servers while a new lease holder waits; and a proxy that found no other server sent to one under an order with Expect-Version of the old weights. Now a heartbeat with overdue weights lists the server as loading at once, on whichever core machine it arrives; a primary, with the lease or without, announces servers as loading when a tenth of their time is left; and a proxy expects of a server the version that it is to load, so that the server itself rejects (421) what it could only run on the old one. A proxy does not repeat such a request there.

--- a/src/main/java/quartzspan/controlplane/ControlPlane.java
+++ b/src/main/java/quartzspan/controlplane/ControlPlane.java
@@ -74,6 +74,7 @@
     private final String self;
     private final DrainAcknowledger drainAcknowledger;
     private final ServerClient servers;
+    private final WeightsDeadlines weightsDeadlines;
     private final RolloutActions rollout;
     private final PrefixCacheIndexer prefixCacheIndexer;
     private final GracefulShutdown shutdown;
@@ -103,15 +104,9 @@
         this.gossip = new Gossip(self, true, seeds, registry, transport::send, Gossip.firstNonce(System.nanoTime()));
         this.httpServer = new HttpServer(this, loop);
         this.drainAcknowledger = new DrainAcknowledger(gossip);
+        this.weightsDeadlines = new WeightsDeadlines(settings.bounds().versionApplyMs());
         this.rollout = new RolloutActions(
-                settings,
-                self,
-                this::nowMs,
-                replicaHost,
-                heartbeats,
-                gossip,
-                servers,
-                new WeightsDeadlines(settings.bounds().versionApplyMs()));
+                settings, self, this::nowMs, replicaHost, heartbeats, gossip, servers, weightsDeadlines);
         this.prefixCacheIndexer = new PrefixCacheIndexer(this::nowMs, self, registry, gossip, transport, servers);
         this.shutdown = new GracefulShutdown(new ReplicaHandover(), gracePeriodMs());
         this.router = router();
@@ -120,7 +115,7 @@
     private RequestRouter router() {
         ServerApi serverApi = new ServerApi(
                 this::nowMs,
-                new HeartbeatHandler(registry, heartbeats, gossip),
+                new HeartbeatHandler(registry, heartbeats, gossip, weightsDeadlines),
                 drainAcknowledger,
                 this::requiredDrainHolders);
         OperatorApi operatorApi = new OperatorApi(this::nowMs, replicaHost, registry);
--- a/src/main/java/quartzspan/controlplane/HeartbeatHandler.java
+++ b/src/main/java/quartzspan/controlplane/HeartbeatHandler.java
@@ -22,8 +22,10 @@
     private final Registry registry;
     private final HeartbeatTracker heartbeats;
     private final Gossip gossip;
+    private final WeightsDeadlines deadlines;
 
-    HeartbeatHandler(Registry registry, HeartbeatTracker heartbeats, Gossip gossip) {
+    HeartbeatHandler(Registry registry, HeartbeatTracker heartbeats, Gossip gossip, WeightsDeadlines deadlines) {
+        this.deadlines = deadlines;
         this.registry = registry;
         this.heartbeats = heartbeats;
         this.gossip = gossip;
@@ -43,7 +45,7 @@
                 id,
                 JsonFields.wholeNumber(json, "call_count", 0),
                 draining ? RegistryEntry.State.DRAINING : RegistryEntry.State.READY,
-                server(id, json));
+                server(now, id, json));
         if (draining) {
             return update != null ? update : registry.entry(RegistryEntry.Subject.SERVER, id);
         }
@@ -65,8 +67,8 @@
         return update != null ? update : registry.entry(RegistryEntry.Subject.SERVER, id);
     }
 
-    /** The server that a heartbeat describes. */
-    private static Server server(String id, JsonObject json) {
+    /** The server that a heartbeat describes; one with overdue weights counts as loading, so that it gets no requests. */
+    private Server server(long now, String id, JsonObject json) {
         String model = "";
         long weights = 0;
         if (json.get("models") instanceof JsonArray models && !models.isEmpty()) {
@@ -79,7 +81,7 @@
                 json.getString("zone", ""),
                 model,
                 weights,
-                0);
+                weights == 0 ? 0 : deadlines.versionDueBy(now, model));
         Server server =
                 Server.of(new RegistryEntry(RegistryEntry.Subject.SERVER, id, 0, RegistryEntry.State.READY, text));
         if (server == null) {
--- a/src/main/java/quartzspan/controlplane/RolloutCoordinator.java
+++ b/src/main/java/quartzspan/controlplane/RolloutCoordinator.java
@@ -59,7 +59,7 @@
         /** Claims the rollout in the control state; {@link RolloutCoordinator#claimed} reports the outcome. */
         void claim(Epoch leadership);
 
-        /** Announces to proxies that a server is about to load weights. */
+        /** Announces to proxies that a server is about to load weights: they send it no requests for other versions. */
         void announce(Server server, long version);
 
         /** Sends an order, if {@link RolloutCoordinator#mayOrder} permits it right before the write; {@link
@@ -132,12 +132,13 @@
             claim(leadership.get());
             return;
         }
+        List<Server> servers = known.get();
+        withdraw(now, leadership.get(), servers);
         if (!holdsLease(now, leadership.get())) {
             return;
         }
         servedToken = fencingToken;
         sendAnnounced(now);
-        List<Server> servers = known.get();
         announce(now, leadership.get(), servers);
         report(now, servers);
         rollout.takeFinished().forEach(actions::loaded);
@@ -205,6 +206,13 @@
         }
     }
 
+    /** Takes servers whose weights are about to be overdue out of service; that needs no lease, for it orders nothing. */
+    private void withdraw(long now, Leadership leadership, List<Server> servers) {
+        for (RolloutPlanner.Order late : rollout.toWithdraw(now, leadership.weights(), servers)) {
+            actions.announce(late.server(), late.version());
+        }
+    }
+
     private void announce(long now, Leadership leadership, List<Server> servers) {
         for (RolloutPlanner.Order due : rollout.due(now, leadership.weights(), servers)) {
             rollout.ordered(now, due);
--- a/src/main/java/quartzspan/controlplane/RolloutPlanner.java
+++ b/src/main/java/quartzspan/controlplane/RolloutPlanner.java
@@ -15,6 +15,9 @@
  * surely stopped. No clock, no I/O; times are milliseconds of a steady clock.
  */
 final class RolloutPlanner {
+    /** A server that has not been ordered this part of the time before its deadline is taken out of service. */
+    private static final double WITHDRAWAL_FRACTION = 0.1;
+
     /** Whom to order what. */
     record Order(Server server, String model, long version) {}
 
@@ -84,6 +87,16 @@
                 .toList();
     }
 
+    /** The servers that are to get no more requests until they have the weights that were named, ordered or not. */
+    List<Order> toWithdraw(long now, Map<String, Long> named, List<Server> servers) {
+        long soon = now + deadlines.share(WITHDRAWAL_FRACTION);
+        List<Order> withdrawn = new ArrayList<>();
+        named.forEach((model, version) -> loadable(model, servers).stream()
+                .filter(server -> server.loading() == 0 && deadlines.deadline(model, server.weights()) <= soon)
+                .forEach(server -> withdrawn.add(new Order(server, model, version))));
+        return withdrawn;
+    }
+
     /** An order is about to be sent. */
     void ordered(long now, Order order) {
         loads.ordered(now, order.server().id(), order.version());
--- a/src/main/java/quartzspan/controlplane/WeightsDeadlines.java
+++ b/src/main/java/quartzspan/controlplane/WeightsDeadlines.java
@@ -70,6 +70,17 @@
         return oldestLacked == null ? NONE : oldestLacked.getValue();
     }
 
+    /** The last version whose deadline lies before a time; 0 if there is none. */
+    long versionDueBy(long time, String model) {
+        Long last = lastDueBy(time, of(model));
+        return last == null ? 0 : last;
+    }
+
+    /** A fraction of the time within which weights have to be applied. */
+    long share(double fraction) {
+        return Math.round(applyMs * fraction);
+    }
+
     /** Which part of the time until a deadline has passed; 1 from the deadline on. */
     double elapsedFraction(long now, long deadline) {
         return now >= deadline ? 1 : 1 - (double) (deadline - now) / applyMs;
--- a/src/main/java/quartzspan/frontend/EndpointDirectory.java
+++ b/src/main/java/quartzspan/frontend/EndpointDirectory.java
@@ -31,7 +31,7 @@
     private final Map<String, ConnectionPool.Endpoint> endpoints = new HashMap<>();
     /** The servers that there are, as last announced. */
     private final Map<String, Server> servers = new HashMap<>();
-    /** Version of the weights of each server, as last reported or seen. */
+    /** Version of the weights of each server, as last announced or seen. */
     private final Map<String, Long> weights = new HashMap<>();
     /** The services that the bounds of connections were last taken from. */
     private Map<String, Service> services = Map.of();
@@ -65,13 +65,31 @@
         return weights.getOrDefault(server, 0L);
     }
 
-    /** A server rejected a request for its version: it has other weights by now, most likely those that were named last. */
-    void onVersionMismatch(String server) {
-        if (weights(server) > 0) {
-            long named =
-                    registry.state().weights().getOrDefault(servers.get(server).model(), 0L);
-            weights.put(server, Math.max(weights(server), named));
+    /**
+     * The version of weights that a server has to have to run a request; 0 if unknown. One that is to load others must not run
+     * it on those that it has: they may be overdue.
+     */
+    long expectedWeights(String server) {
+        long has = weights(server);
+        return has == 0 ? 0 : Math.max(has, servers.get(server).loading());
+    }
+
+    /**
+     * A server rejected a request for its version: it has other weights by now, most likely those that were named last, unless
+     * it has yet to load them.
+     *
+     * @return whether it may run the request if that is sent again
+     */
+    boolean onVersionMismatch(String server) {
+        long has = weights(server);
+        Server known = servers.get(server);
+        if (known == null || known.loading() > has) {
+            return false;
+        }
+        if (has > 0) {
+            weights.put(server, Math.max(has, registry.state().weights().getOrDefault(known.model(), 0L)));
         }
+        return true;
     }
 
     /** The addresses of the stores for cached prompts that answer. */
--- a/src/main/java/quartzspan/frontend/PrefixCacheRouting.java
+++ b/src/main/java/quartzspan/frontend/PrefixCacheRouting.java
@@ -38,7 +38,7 @@
      * @return the names of the prompt's blocks at that server; empty if its weights are unknown
      */
     long[] setHeaders(HttpHeaders headers, String server, Job job, Prompt prompt) {
-        long version = endpoints.weights(server);
+        long version = endpoints.expectedWeights(server);
         if (version == 0) {
             if (!prompt.isolationKey().isEmpty()) {
                 headers.set(CACHE_SALT, prompt.isolationKey());
--- a/src/main/java/quartzspan/frontend/ProxiedRequest.java
+++ b/src/main/java/quartzspan/frontend/ProxiedRequest.java
@@ -247,9 +247,9 @@
         }
         if (head != null && head.status().code() == 421) {
             if (server.equals(head.headers().get("X-Instance-Id"))) {
-                // The same server has only changed its weights: it does not count as another attempt.
-                nextServer = sends < MAX_SENDS ? server : null;
-                proxy.endpoints().onVersionMismatch(server);
+                // Where the same server has only changed its weights, it does not count as another attempt.
+                boolean mayRun = proxy.endpoints().onVersionMismatch(server);
+                nextServer = mayRun && sends < MAX_SENDS ? server : null;
             } else {
                 proxy.endpoints().placement().moved(proxy.now(), server);
             }
--- a/src/main/java/quartzspan/registry/HeartbeatTracker.java
+++ b/src/main/java/quartzspan/registry/HeartbeatTracker.java
@@ -52,7 +52,8 @@
         RegistryEntry old = registry.entry(RegistryEntry.Subject.SERVER, id);
         // The heartbeat doesn't name the weights that the server is loading: they stay until it has them.
         Server before = old == null ? null : Server.of(old);
-        String text = reported.text(reported.weights(), before == null ? 0 : before.loading());
+        long loading = Math.max(reported.loading(), before == null ? 0 : before.loading());
+        String text = reported.text(reported.weights(), loading);
         if (old != null && old.state() == state && old.text().equals(text)) {
             return null;
         }
--- a/src/test/java/quartzspan/controlplane/HeartbeatHandlerTest.java
+++ b/src/test/java/quartzspan/controlplane/HeartbeatHandlerTest.java
@@ -7,20 +7,26 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 import quartzspan.common.FleetException;
 import quartzspan.registry.Gossip;
 import quartzspan.registry.HeartbeatTracker;
 import quartzspan.registry.Registry;
 import quartzspan.registry.RegistryEntry;
+import quartzspan.registry.Server;
 
 /** What a core machine takes in of servers, and when it sends them on to another. */
 class HeartbeatHandlerTest {
+    private static final long APPLY_MS = 10_000;
+
     private final Registry registry = new Registry();
+    private final WeightsDeadlines deadlines = new WeightsDeadlines(APPLY_MS);
     private final HeartbeatHandler receiver = new HeartbeatHandler(
             registry,
             new HeartbeatTracker(registry, 1_200),
-            new Gossip("c1:1", true, List.of("c1:1", "c2:1"), registry, (to, message) -> {}));
+            new Gossip("c1:1", true, List.of("c1:1", "c2:1"), registry, (to, message) -> {}),
+            deadlines);
 
     private static byte[] body(long count, String state) {
         return ("{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"state\":\"" + state
@@ -64,4 +70,20 @@
     void malformedHeartbeatIsRefused() {
         assertThrows(FleetException.class, () -> receiver.heartbeat(0, "i", new byte[] {'{'}));
     }
+
+    @Test
+    void serverThatReturnsWithOverdueWeightsIsListedAsLoadingFromItsFirstHeartbeatOn() {
+        deadlines.observe(0, Map.of("m", 2L));
+        registry.confirmFresh(2 * APPLY_MS);
+        receiver.heartbeat(APPLY_MS - 1, "i", body(1, "ready"));
+        assertEquals(0, listed("i").loading(), "not overdue yet");
+        receiver.heartbeat(APPLY_MS, "j", body(1, "ready"));
+        assertEquals(2, listed("j").loading());
+        receiver.heartbeat(APPLY_MS, "i", body(2, "ready"));
+        assertEquals(2, listed("i").loading(), "overdue by now");
+    }
+
+    private Server listed(String id) {
+        return Server.of(registry.entry(RegistryEntry.Subject.SERVER, id));
+    }
 }
--- a/src/test/java/quartzspan/controlplane/RolloutCoordinatorTest.java
+++ b/src/test/java/quartzspan/controlplane/RolloutCoordinatorTest.java
@@ -30,6 +30,7 @@
     private long now = 100_000;
     private final List<RolloutCoordinator.Order> orders = new ArrayList<>();
     private final List<Long> orderedAt = new ArrayList<>();
+    private final Set<String> announced = new HashSet<>();
 
     /** One machine of the core. */
     private final class Machine implements RolloutCoordinator.Actions {
@@ -83,7 +84,9 @@
         }
 
         @Override
-        public void announce(Server server, long version) {}
+        public void announce(Server server, long version) {
+            announced.add(server.id());
+        }
 
         @Override
         public void order(RolloutCoordinator.Order order) {
@@ -323,4 +326,20 @@
         a.run(LEASE_MS + RolloutCoordinator.CONFIRMATION_VALID_MS + RolloutCoordinator.ORDER_TIMEOUT_MS + 300);
         assertEquals(2, orders.size(), "two of three at once, where it is one at the beginning of a rollout");
     }
+
+    @Test
+    void serversAreTakenOutOfServiceBeforeTheirWeightsAreOverdueAlsoWhereNoOrderMayBeGiven() {
+        Machine a = new Machine("a");
+        a.answersClaims = false;
+        a.leaderships(1);
+        a.run(APPLY_MS / 2);
+        assertEquals(Set.of(), announced);
+        a.answersClaims = true;
+        a.leaderships(2);
+        holder = "other";
+        a.cut = true;
+        a.run(APPLY_MS / 2);
+        assertTrue(orders.isEmpty());
+        assertEquals(Set.of("i-1", "i-2", "i-3"), announced);
+    }
 }
--- /dev/null
+++ b/src/test/java/quartzspan/frontend/LoadingServerTest.java
@@ -0,0 +1,47 @@
+package quartzspan.frontend;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.junit.jupiter.api.Test;
+import quartzspan.http.LoopbackPeers.Seen;
+
+/** What a proxy sends to a server that is to load other weights. */
+class LoadingServerTest extends FleetFixture {
+    private static final int MAX_REQUESTS = 5_000;
+
+    private final BlockingQueue<String> expectedVersions = new LinkedBlockingQueue<>();
+
+    /** Takes the order, never finishes the load, and runs what it may run on version 1. */
+    private void serve(Seen seen) {
+        String path = seen.message().first().split(" ")[1];
+        if (path.equals("/quartzspan/order")) {
+            seen.answer(202, "", "");
+        } else if (path.equals("/quartzspan/report")) {
+            seen.answer(200, "", "{\"busy\":true,\"models\":[]}");
+        } else if (path.startsWith("/quartzspan/")) {
+            seen.answer(404, "", "");
+        } else {
+            String expected = seen.message().header("expect-version");
+            expectedVersions.add(expected);
+            boolean mismatch = expected.equals("2");
+            String rejection = answer(421, "X-Attempt-Id: " + id(seen) + "\r\nX-Instance-Id: loads\r\n", "");
+            seen.write(mismatch ? rejection : answer(id(seen), "old weights"));
+        }
+    }
+
+    @Test
+    void requestToAServerThatIsToLoadIsNotRunOnItsOldWeightsNorRepeatedThere() throws Exception {
+        serverWithWeights("loads", "m", 1, this::serve);
+        nameWeights("m", 2);
+        String answer = "";
+        for (int i = 0; !expectedVersions.contains("2") && i < MAX_REQUESTS; i++) {
+            expectedVersions.clear();
+            answer = keep(client()).write(request("read", "a" + i)).read().first();
+        }
+        assertEquals(List.of("2"), List.copyOf(expectedVersions));
+        assertEquals("HTTP/1.1 503 Service Unavailable", answer);
+    }
+}
