Gossip: an update that waits to be sent goes out with the next one

Updates within 40 ms of the last broadcast wait for the tick; an update after those 40 ms went out at once, alone, and its sending made the waiting ones wait again: with one every 45 ms they went out only when a tick fell into the 5 ms left. An entry that overtook a waiting state also dropped that state's deltas, for the index counted as sent, and each receiver fetched them by itself. Now whatever waits goes with the next update.

--- a/src/main/java/quartzspan/registry/Gossip.java
+++ b/src/main/java/quartzspan/registry/Gossip.java
@@ -305,26 +305,33 @@
 
     /**
      * Broadcasts an update: a proxy to its peers, a core machine to its subscribers and to the other core machines. The first one
-     * goes at once; those within {@link #BATCH_WINDOW_MS} go together. A core machine sends the deltas of the state; other
-     * processes only send its index, and a process that lacks it fetches it.
+     * goes at once; those within {@link #BATCH_WINDOW_MS} go together, with the next one or at the next tick. A core machine
+     * sends the deltas of the state; other processes only send its index, and a process that lacks it fetches it.
      */
     public void broadcast(long now, Registry.Update update, String except) {
-        if (now - broadcastAtMs < BATCH_WINDOW_MS) {
-            update.entries().forEach(entry -> pendingEntries.put(entry.subject().ordinal() + entry.key(), entry));
-            statePending |= update.state();
-            return;
+        boolean alone = !isUpdatePending();
+        update.entries().forEach(entry -> pendingEntries.put(entry.subject().ordinal() + entry.key(), entry));
+        statePending |= update.state();
+        if (now - broadcastAtMs >= BATCH_WINDOW_MS) {
+            broadcastPending(now, alone ? except : null);
         }
-        broadcastNow(now, update, except);
+    }
+
+    private boolean isUpdatePending() {
+        return statePending || !pendingEntries.isEmpty();
     }
 
     private void broadcastCollected(long now) {
-        if (pendingEntries.isEmpty() && !statePending || now - broadcastAtMs < BATCH_WINDOW_MS) {
-            return;
+        if (isUpdatePending() && now - broadcastAtMs >= BATCH_WINDOW_MS) {
+            broadcastPending(now, null);
         }
+    }
+
+    private void broadcastPending(long now, String except) {
         Registry.Update update = new Registry.Update(List.copyOf(pendingEntries.values()), statePending);
         pendingEntries.clear();
         statePending = false;
-        broadcastNow(now, update, null);
+        broadcastNow(now, update, except);
     }
 
     private void broadcastNow(long now, Registry.Update update, String except) {
