Soak: the fleet's processes under signals, restarts and changes that overlap

Three core machines and four proxies as processes on loopback, five stand-in model servers, 24 clients that use their connections as long as the proxies do, an operator. From a seed: SIGTERMs, SIGHUPs, SIGKILLs and SIGSTOPs in series that overlap, changes, keys given and taken, weights named up to three times in a row, servers that leave and crash. What was seen is held against LOST, VERSION, TWICE, MIXED, REFUSED, DENIED, CONFIG, DRAIN, ONE, and a final answer in time.

--- /dev/null
+++ b/src/test/java/quartzspan/soak/ControlClient.java
@@ -0,0 +1,46 @@
+package quartzspan.soak;
+
+import java.io.IOException;
+import java.net.URI;
+import java.util.List;
+import java.util.SplittableRandom;
+import quartzspan.http.LoopbackPeers.Message;
+
+/** Calls of servers and operators to the core: at any machine, redirected twice at most, a second of patience each. */
+final class ControlClient {
+    private static final int TIMEOUT_MS = 1_000;
+    private static final int MAX_REDIRECTS = 2;
+
+    private final List<String> hosts;
+    private final int port;
+    private final SplittableRandom random;
+
+    ControlClient(List<String> hosts, int port, SplittableRandom random) {
+        this.hosts = hosts;
+        this.port = port;
+        this.random = random;
+    }
+
+    /** One call, at a machine drawn by lot; null if it got no clear answer. */
+    Message call(String method, String path, String headers, String body) {
+        String host = hosts.get(random.nextInt(hosts.size()));
+        for (int hops = 0; hops <= MAX_REDIRECTS; hops++) {
+            Message answer = callAt(host, method, path, headers, body);
+            if (answer == null || answer.status() != 307) {
+                return answer == null || answer.status() >= 500 ? null : answer;
+            }
+            host = URI.create(answer.header("location")).getHost();
+        }
+        return null;
+    }
+
+    private Message callAt(String host, String method, String path, String headers, String body) {
+        try (HttpExchange exchange = new HttpExchange(host, port, TIMEOUT_MS)) {
+            exchange.write(method + ' ' + path + " HTTP/1.1\r\nHost: c\r\nConnection: close\r\n" + headers
+                    + "Content-Type: application/json\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+            return exchange.read(TIMEOUT_MS);
+        } catch (IOException noAnswer) {
+            return null;
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/quartzspan/soak/FleetProcess.java
@@ -0,0 +1,86 @@
+package quartzspan.soak;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** One of the fleet's programs as a process, started again with the same settings after each end. */
+final class FleetProcess implements AutoCloseable {
+    private static final List<String> JVM =
+            List.of("-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC", "-Xmx96m", "-Xss512k", "-XX:-UsePerfData");
+    private static final long END_PATIENCE_S = 20;
+
+    private final String name;
+    private final String host;
+    private final Class<?> program;
+    private final Path settings;
+    private final Path log;
+    private Process process;
+
+    FleetProcess(String name, String host, Class<?> program, Path settings) {
+        this.name = name;
+        this.host = host;
+        this.program = program;
+        this.settings = settings;
+        this.log = settings.resolveSibling(name + ".log");
+    }
+
+    String name() {
+        return name;
+    }
+
+    String host() {
+        return host;
+    }
+
+    Path settings() {
+        return settings;
+    }
+
+    synchronized void start() throws IOException {
+        ProcessBuilder builder = new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        builder.command().addAll(JVM);
+        builder.command().addAll(List.of("-cp", System.getProperty("java.class.path"), program.getName()));
+        builder.environment().put("QUARTZSPAN_CONFIG", settings.toString());
+        builder.redirectErrorStream(true);
+        builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
+        process = builder.start();
+    }
+
+    synchronized void signal(String signal) throws IOException {
+        new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid()))
+                .start()
+                .onExit()
+                .join();
+    }
+
+    synchronized boolean isAlive() {
+        return process.isAlive();
+    }
+
+    /** Waits until the process has ended by itself; whether it did in time. */
+    boolean awaitEnd(long timeoutMs) throws InterruptedException {
+        return current().waitFor(timeoutMs, TimeUnit.MILLISECONDS);
+    }
+
+    private synchronized Process current() {
+        return process;
+    }
+
+    void kill() throws InterruptedException {
+        current().destroyForcibly().waitFor(END_PATIENCE_S, TimeUnit.SECONDS);
+    }
+
+    /** What it has logged. */
+    String log() throws IOException {
+        return Files.readString(log);
+    }
+
+    @Override
+    public void close() {
+        current().destroyForcibly().onExit().join();
+    }
+}
--- /dev/null
+++ b/src/test/java/quartzspan/soak/ModelServer.java
@@ -0,0 +1,299 @@
+package quartzspan.soak;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import jakarta.json.JsonObject;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import quartzspan.configuration.JsonFields;
+import quartzspan.http.ConnectionPool;
+import quartzspan.http.HttpServer;
+
+/**
+ * A stand-in for one life of a model server: runs a few requests at once, as streams of events, queues a few more, and loads
+ * weights when ordered to, once what runs has ended. All of it on one event loop.
+ */
+final class ModelServer implements HttpServer.RequestHandler {
+    static final String MODEL = "m";
+    /** How many events a request asks for, and how far they are apart. */
+    static final String EVENTS = "x-soak-events";
+
+    static final String PAUSE_MS = "x-soak-pause-ms";
+
+    private static final int CAPACITY = 16;
+    private static final int MAX_QUEUED = 48;
+    private static final long LOAD_MS = 500;
+    private static final long KV_EVENTS_WAIT_MS = 900;
+    private static final HttpServer.ConnectionLimits LIMITS =
+            new HttpServer.ConnectionLimits(2_000, 32 * 1024, 64 * 1024, 20_000, 20_000);
+
+    private final String id;
+    private final EventLoop loop;
+    private final SoakClock clock;
+    private final SoakRecord record;
+    private final HttpServer http;
+    private final ArrayDeque<RunningRequest> queued = new ArrayDeque<>();
+    private final Set<RunningRequest> running = new HashSet<>();
+    private long weights;
+    private long loading;
+    private int ordersTaken;
+
+    /** Starts to listen on a port of its own; to be called off the event loop. */
+    static ModelServer start(String id, long weights, EventLoop loop, SoakClock clock, SoakRecord record) {
+        return loop.submit(() -> new ModelServer(id, weights, loop, clock, record))
+                .syncUninterruptibly()
+                .getNow();
+    }
+
+    private ModelServer(String id, long weights, EventLoop loop, SoakClock clock, SoakRecord record) {
+        this.id = id;
+        this.weights = weights;
+        this.loop = loop;
+        this.clock = clock;
+        this.record = record;
+        this.http = new HttpServer(this, loop);
+        http.listen(new InetSocketAddress("127.0.0.1", 0));
+    }
+
+    String id() {
+        return id;
+    }
+
+    /** Its heartbeat, as JSON. */
+    String heartbeat(String state) {
+        return loop.submit(() ->
+                        "{\"service\":\"s\",\"address\":\"127.0.0.1:" + http.port() + "\",\"zone\":\"z\",\"state\":\""
+                                + state + "\",\"capacity\":" + CAPACITY + ",\"models\":[{\"name\":\"" + MODEL
+                                + "\",\"version\":" + weights + "}],\"call_count\":" + ordersTaken + "}")
+                .syncUninterruptibly()
+                .getNow();
+    }
+
+    long weights() {
+        return loop.submit(() -> weights).syncUninterruptibly().getNow();
+    }
+
+    /** Takes no more connections and requests; what runs goes on to its end. */
+    void retire() {
+        loop.submit(() -> {
+                    http.closeAfterResponses();
+                    http.close();
+                })
+                .syncUninterruptibly();
+    }
+
+    /** Ends at once, as a crash does: what runs is broken off. */
+    void crash() {
+        loop.submit(() -> {
+                    http.close();
+                    Set.copyOf(running).forEach(request -> request.client.abort());
+                    queued.forEach(request -> request.client.abort());
+                })
+                .syncUninterruptibly();
+    }
+
+    @Override
+    public long now() {
+        return TimeUnit.MILLISECONDS.toMicros(clock.nowMs());
+    }
+
+    @Override
+    public HttpServer.ConnectionLimits limits() {
+        return LIMITS;
+    }
+
+    @Override
+    public void onRequest(HttpServer.ClientConnection client, HttpRequest in, byte[] body, long at) {
+        String path = in.uri().split("\\?", 2)[0];
+        switch (path) {
+            case "/quartzspan/order" -> onOrder(client, in, JsonFields.parse(body));
+            case "/quartzspan/report" -> answer(client, HttpResponseStatus.OK, report());
+            case "/quartzspan/kv-events" -> loop.schedule(
+                    () -> answer(
+                            client,
+                            HttpResponseStatus.OK,
+                            "{\"epoch\":1,\"next_token\":0,\"lost\":false,\"events\":[]}"),
+                    KV_EVENTS_WAIT_MS,
+                    TimeUnit.MILLISECONDS);
+            case "/quartzspan/kv-list" -> answer(
+                    client, HttpResponseStatus.OK, "{\"epoch\":1,\"next_token\":0,\"held\":[]}");
+            default -> onClientRequest(client, in);
+        }
+    }
+
+    private String report() {
+        return "{\"busy\":" + (loading > 0) + ",\"models\":[{\"name\":\"" + MODEL + "\",\"version\":" + weights
+                + "}],\"call_count\":" + ordersTaken + ",\"queued\":" + queued.size() + ",\"active\":" + running.size()
+                + "}";
+    }
+
+    private static void answer(HttpServer.ClientConnection client, HttpResponseStatus status, String json) {
+        client.answer(
+                status,
+                new ConnectionPool.Response(json.getBytes(StandardCharsets.UTF_8), "application/json", null),
+                0);
+    }
+
+    // ---- weights -------------------------------------------------------------------------------------
+
+    private void onOrder(HttpServer.ClientConnection client, HttpRequest in, JsonObject order) {
+        if (isForAnother(in)) {
+            answer(client, HttpResponseStatus.MISDIRECTED_REQUEST, "{}");
+            return;
+        }
+        long version = JsonFields.wholeNumber(order, "version", 0);
+        record.orders.add(new SoakRecord.ServerOrder(
+                id, order.getString("holder"), JsonFields.wholeNumber(order, "fencing_token", -1), clock.nowMs()));
+        if (loading == 0 && weights == version) {
+            answer(client, HttpResponseStatus.OK, "{}");
+        } else if (loading != 0 && loading != version) {
+            answer(client, HttpResponseStatus.CONFLICT, "{}");
+        } else {
+            answer(client, HttpResponseStatus.ACCEPTED, "{}");
+            beginLoad(version);
+        }
+    }
+
+    private void beginLoad(long version) {
+        if (loading == 0) {
+            loading = version;
+            ordersTaken++;
+            queued.forEach(RunningRequest::reject);
+            queued.clear();
+            loadOnceIdle();
+        }
+    }
+
+    private void loadOnceIdle() {
+        if (loading > 0 && running.isEmpty()) {
+            loop.schedule(this::endLoad, LOAD_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void endLoad() {
+        if (loading > 0) {
+            weights = loading;
+            loading = 0;
+        }
+    }
+
+    // ---- clients' requests ---------------------------------------------------------------------------
+
+    private boolean isForAnother(HttpRequest in) {
+        return !id.equals(in.headers().get("X-Expected-Instance", id));
+    }
+
+    private void onClientRequest(HttpServer.ClientConnection client, HttpRequest in) {
+        RunningRequest request = new RunningRequest(client, in.headers());
+        String expected = in.headers().get("Expect-Version", "");
+        if (isForAnother(in)) {
+            answer(client, HttpResponseStatus.MISDIRECTED_REQUEST, "{}");
+            return;
+        }
+        record.arrivals.add(new SoakRecord.Arrival(request.attemptId, id, clock.nowMs()));
+        if (!expected.isEmpty() && Long.parseLong(expected) != weights) {
+            request.answer(HttpResponseStatus.MISDIRECTED_REQUEST);
+        } else if (loading > 0 || queued.size() >= MAX_QUEUED) {
+            request.reject();
+        } else {
+            client.onDisconnect(() -> queued.remove(request));
+            queued.add(request);
+            runNext();
+        }
+    }
+
+    private void runNext() {
+        while (running.size() < CAPACITY && !queued.isEmpty()) {
+            RunningRequest next = queued.poll();
+            if (clock.nowMs() >= next.deadlineMs) {
+                next.reject();
+            } else {
+                next.begin();
+            }
+        }
+        loadOnceIdle();
+    }
+
+    /** A request of a client, from its arrival to the end of its answer. */
+    private final class RunningRequest {
+        private final HttpServer.ClientConnection client;
+        private final String attemptId;
+        private final String tenant;
+        private final long deadlineMs;
+        private final long pauseMs;
+        private int eventsLeft;
+        private long beganAtMs;
+        private long beganOnWeights;
+
+        RunningRequest(HttpServer.ClientConnection client, HttpHeaders headers) {
+            this.client = client;
+            this.attemptId = headers.get("X-Attempt-Id", "");
+            this.tenant = headers.get("X-Tenant", "");
+            this.deadlineMs = clock.nowMs() + Long.parseLong(headers.get("X-Deadline-Ms", "0"));
+            this.eventsLeft = headers.getInt(EVENTS, 1);
+            this.pauseMs = headers.getInt(PAUSE_MS, 1);
+        }
+
+        private HttpHeaders marks() {
+            return new DefaultHttpHeaders().set("X-Attempt-Id", attemptId).set("X-Instance-Id", id);
+        }
+
+        void answer(HttpResponseStatus status) {
+            client.answer(
+                    status, new ConnectionPool.Response(new byte[0], null, marks().set("X-Not-Executed", "1")), 0);
+        }
+
+        void reject() {
+            answer(HttpResponseStatus.SERVICE_UNAVAILABLE);
+        }
+
+        void begin() {
+            running.add(this);
+            beganAtMs = clock.nowMs();
+            beganOnWeights = weights;
+            client.onDisconnect(this::end);
+            HttpResponse head = new DefaultHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.OK, marks().set("X-Server-Seal", id));
+            head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+            client.startResponse(head);
+            nextEvent();
+        }
+
+        private void nextEvent() {
+            if (!running.contains(this)) {
+                return;
+            }
+            if (clock.nowMs() >= deadlineMs) {
+                client.abort();
+            } else if (eventsLeft == 0) {
+                client.finishResponse();
+                end();
+            } else {
+                byte[] event = ("data: " + attemptId + "\n\n").getBytes(StandardCharsets.ISO_8859_1);
+                client.writeChunk(Unpooled.wrappedBuffer(event));
+                eventsLeft--;
+                loop.schedule(this::nextEvent, pauseMs, TimeUnit.MILLISECONDS);
+            }
+        }
+
+        private void end() {
+            if (running.remove(this)) {
+                record.runs.add(new SoakRecord.Run(attemptId, id, tenant, beganOnWeights, beganAtMs, clock.nowMs()));
+                runNext();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/quartzspan/soak/SoakTest.java
@@ -0,0 +1,35 @@
+package quartzspan.soak;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** The fleet under signals, restarts and changes that overlap breaks no rule. */
+class SoakTest {
+    private static final String DEFAULT_SEEDS = "1-1";
+
+    @TempDir
+    Path folder;
+
+    static LongStream seeds() {
+        String[] range = System.getProperty("soak.seeds", DEFAULT_SEEDS).split("-");
+        return LongStream.rangeClosed(Long.parseLong(range[0]), Long.parseLong(range[range.length - 1]));
+    }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void noRuleIsBroken(long seed) throws Exception {
+        SoakPlan plan = SoakPlan.ofSystemProperties(seed);
+        try (SoakRun run = new SoakRun(plan, Files.createDirectory(folder.resolve("seed" + seed)))) {
+            List<String> broken = run.play();
+            System.out.println(run.summary());
+            assertEquals("", String.join("\n", broken), "seed " + seed);
+        }
+    }
+}
