--- a/src/test/java/quartzspan/soak/ReadinessMonitor.java
+++ b/src/test/java/quartzspan/soak/ReadinessMonitor.java
@@ -53,4 +53,9 @@
     boolean allReady() {
         return misses.values().stream().allMatch(missed -> missed < MAX_MISSES);
     }
+
+    @Override
+    public String toString() {
+        return "questions missed " + misses;
+    }
 }
--- a/src/test/java/quartzspan/soak/SoakRun.java
+++ b/src/test/java/quartzspan/soak/SoakRun.java
@@ -15,6 +15,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Supplier;
+import java.util.stream.Stream;
 
 /** One soak: starts everything, lets clients send while things happen, lets all come to rest, and ends everything. */
 final class SoakRun implements AutoCloseable {
@@ -55,21 +57,28 @@
         List<ServerLife> servers = startServers();
         CountDownLatch configured = new CountDownLatch(1);
         operator.begin(configured::countDown);
-        await(() -> configured.getCount() == 0 && readiness.allReady(), START_PATIENCE_S, "a fleet that is ready");
+        await(
+                () -> configured.getCount() == 0 && readiness.allReady(),
+                START_PATIENCE_S,
+                () -> "a fleet that is ready: " + readiness);
         List<Thread> clients = startClients(readiness, operator);
         SoakTroubles troubles =
                 new SoakTroubles(plan, random.split(), clock, record, fleet, servers, operator, executor("troubles"));
         troubles.schedule();
         long endMs = clock.nowMs() + plan.durationMs();
-        await(() -> clock.nowMs() >= endMs, plan.durationMs(), "the end");
+        await(() -> clock.nowMs() >= endMs, plan.durationMs(), () -> "the end");
         clientsGoOn.set(false);
         for (Thread client : clients) {
             client.join();
         }
-        await(() -> troubles.isCalm() && readiness.allReady(), END_PATIENCE_S, "a fleet that is ready again");
+        await(troubles::isCalm, END_PATIENCE_S, () -> "the end of all troubles: " + troubles);
+        Stream.concat(fleet.cores().stream(), fleet.proxies().stream())
+                .filter(process -> !process.isAlive())
+                .forEach(process -> record.faults.add("FAULT: " + process.name() + " has ended by itself"));
+        await(readiness::allReady, END_PATIENCE_S, () -> "a fleet that is ready again: " + readiness);
         CountDownLatch read = new CountDownLatch(1);
         operator.readBack(read::countDown);
-        await(() -> read.getCount() == 0, END_PATIENCE_S, "the configuration");
+        await(() -> read.getCount() == 0, END_PATIENCE_S, () -> "the configuration");
         return new SoakRules(record).broken();
     }
 
@@ -125,12 +134,13 @@
         boolean holds();
     }
 
-    private void await(Condition condition, long patienceS, String what) throws InterruptedException, TimeoutException {
+    private void await(Condition condition, long patienceS, Supplier<String> what)
+            throws InterruptedException, TimeoutException {
         long endMs = clock.nowMs() + TimeUnit.SECONDS.toMillis(patienceS);
         CountDownLatch never = new CountDownLatch(1);
         while (!condition.holds()) {
             if (clock.nowMs() > endMs) {
-                throw new TimeoutException("never came: " + what);
+                throw new TimeoutException("never came: " + what.get());
             }
             never.await(POLL_MS, TimeUnit.MILLISECONDS);
         }
--- a/src/test/java/quartzspan/soak/SoakTest.java
+++ b/src/test/java/quartzspan/soak/SoakTest.java
@@ -6,7 +6,6 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.stream.LongStream;
-import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
@@ -14,8 +13,8 @@
 class SoakTest {
     private static final String DEFAULT_SEEDS = "1-1";
 
-    @TempDir
-    Path folder;
+    /** Settings, disks and logs of the processes stay there until the next run. */
+    private static final Path FOLDER = Path.of("target", "soak");
 
     static LongStream seeds() {
         String[] range = System.getProperty("soak.seeds", DEFAULT_SEEDS).split("-");
@@ -26,10 +25,11 @@
     @MethodSource("seeds")
     void noRuleIsBroken(long seed) throws Exception {
         SoakPlan plan = SoakPlan.ofSystemProperties(seed);
-        try (SoakRun run = new SoakRun(plan, Files.createDirectory(folder.resolve("seed" + seed)))) {
+        Path folder = FOLDER.resolve("seed-" + seed + '-' + System.nanoTime());
+        try (SoakRun run = new SoakRun(plan, Files.createDirectories(folder).toAbsolutePath())) {
             List<String> broken = run.play();
             System.out.println(run.summary());
-            assertEquals("", String.join("\n", broken), "seed " + seed);
+            assertEquals("", String.join("\n", broken), "seed " + seed + ", logs in " + folder);
         }
     }
 }
--- a/src/test/java/quartzspan/soak/SoakTroubles.java
+++ b/src/test/java/quartzspan/soak/SoakTroubles.java
@@ -126,7 +126,8 @@
     }
 
     private void hangUpAll() {
-        fleet.proxies().forEach(proxy -> signal(proxy, "HUP"));
+        // A process that has just been started knows no SIGHUP yet, and would end by it.
+        fleet.proxies().stream().filter(proxy -> !struck.contains(proxy)).forEach(proxy -> signal(proxy, "HUP"));
     }
 
     private void signal(FleetProcess process, String signal) {
@@ -208,12 +209,16 @@
         } catch (IOException e) {
             record.faults.add("the soak itself: " + process.name() + " does not start: " + e);
         }
-        // A core machine counts as lost until it has caught up.
-        at(isCore(process) ? SoakPlan.CONTACT_MS : 0, () -> release(process));
+        at(SoakPlan.CONTACT_MS, () -> release(process));
     }
 
     /** Whether nothing is struck at present. */
     boolean isCalm() {
         return struck.isEmpty();
     }
+
+    @Override
+    public String toString() {
+        return struck.stream().map(FleetProcess::name).toList().toString();
+    }
 }
