--- a/src/test/java/quartzspan/ArchitectureTest.java
+++ b/src/test/java/quartzspan/ArchitectureTest.java
@@ -47,7 +47,7 @@
     void controlLogicHasNoIo() {
         noClasses()
                 .that()
-                .resideInAnyPackage("quartzspan.replication", "quartzspan.registry", "quartzspan.promptindex")
+                .resideInAnyPackage("quartzspan.replication", "quartzspan.registry", "quartzspan.prefixcache")
                 .should()
                 .dependOnClassesThat()
                 .resideInAnyPackage(
