--- a/src/main/java/quartzspan/frontend/EndpointDirectory.java
+++ b/src/main/java/quartzspan/frontend/EndpointDirectory.java
@@ -10,6 +10,7 @@
 import quartzspan.http.ConnectionPool;
 import quartzspan.http.HttpFraming;
 import quartzspan.loadbalancing.PrefixAwarePlacement;
+import quartzspan.loadbalancing.ServerConnections;
 import quartzspan.prefixcache.PrefixCacheIndex;
 import quartzspan.registry.Registry;
 import quartzspan.registry.RegistryEntry;
@@ -19,7 +20,7 @@
  * The model servers as this proxy reaches them: pooled connections, addresses and weights, kept up to date with the registry.
  * Owned by the event loop.
  */
-final class EndpointDirectory implements PrefixAwarePlacement.Connections {
+final class EndpointDirectory implements ServerConnections {
     private static final int DEFAULT_MAX_CONNECTIONS = 64;
     private static final int MIN_CONNECTIONS = 2;
 
@@ -141,7 +142,7 @@
         if (endpoint == null) {
             return;
         }
-        placement.gone(id);
+        placement.onGone(id);
         endpoint.listed(null, false, 0);
         connectionPool.closeIdle(endpoint);
         endpoints.remove(id);
@@ -159,7 +160,7 @@
             connectionPool.closeIdle(endpoint);
         }
         endpoint.listed(socketAddress(server.address()), ready, maxConnections(server));
-        placement.listed(clockUs.getAsLong(), server.id(), server.service(), ready, server.loading() > 0);
+        placement.onListed(clockUs.getAsLong(), server.id(), server.service(), ready, server.loading() > 0);
         weights.put(server.id(), server.weights());
     }
 
@@ -180,12 +181,12 @@
     // ---- connections ---------------------------------------------------------------------------------
 
     @Override
-    public boolean connected(String server) {
+    public boolean isConnected(String server) {
         return endpoints.get(server).connected();
     }
 
     @Override
-    public boolean reachable(String server) {
+    public boolean isReachable(String server) {
         return endpoints.get(server).reachable();
     }
 }
--- a/src/main/java/quartzspan/frontend/FrontendProxy.java
+++ b/src/main/java/quartzspan/frontend/FrontendProxy.java
@@ -25,6 +25,7 @@
 import quartzspan.http.Clock;
 import quartzspan.http.ConnectionPool;
 import quartzspan.http.HttpServer;
+import quartzspan.loadbalancing.RetryBudget;
 import quartzspan.prefixcache.PrefixCacheIndex;
 import quartzspan.prefixcache.PrefixCacheUpdate;
 import quartzspan.registry.Gossip;
@@ -80,6 +81,7 @@
     private final PrefixCacheRouting prefixCacheRouting;
     private final SplittableRandom random = new SplittableRandom(System.nanoTime());
     private final RequestClassifier classifier = new RequestClassifier(random);
+    private final RetryBudget retryBudget = new RetryBudget();
     private final Set<ProxiedRequest> inFlight = new HashSet<>();
     private final CountDownLatch ended = new CountDownLatch(1);
     private final ShutdownSchedule shutdown;
@@ -219,6 +221,10 @@
         return endpoints;
     }
 
+    RetryBudget retryBudget() {
+        return retryBudget;
+    }
+
     PrefixCacheRouting prefixCacheRouting() {
         return prefixCacheRouting;
     }
@@ -331,14 +337,13 @@
             reject(client, retryAfterUs(route));
             return;
         }
-        endpoints
-                .placement()
-                .came(settings.bounds().retryBudgetRatio(), settings.bounds().retryAllowance(), endpoints.proxies());
+        Settings.Bounds bounds = settings.bounds();
+        retryBudget.onRequest(bounds.retryBudgetRatio(), bounds.retryAllowance(), endpoints.proxies());
         ProxiedRequest request = new ProxiedRequest(
                 this,
                 client,
                 route,
-                classifier.job(route, in, tenant),
+                classifier.placementRequest(route, in, tenant),
                 RequestClassifier.outgoing(configuration, in, body, route, tenant),
                 deadlineUs,
                 RequestClassifier.prompt(in, tenant));
--- a/src/main/java/quartzspan/frontend/PrefixCacheRouting.java
+++ b/src/main/java/quartzspan/frontend/PrefixCacheRouting.java
@@ -2,7 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import quartzspan.http.Clock;
-import quartzspan.loadbalancing.PrefixAwarePlacement.Job;
+import quartzspan.loadbalancing.PlacementRequest;
 import quartzspan.prefixcache.PrefixCacheIndex;
 
 /**
@@ -37,7 +37,7 @@
      *
      * @return the names of the prompt's blocks at that server; empty if its weights are unknown
      */
-    long[] setHeaders(HttpHeaders headers, String server, Job job, Prompt prompt) {
+    long[] setHeaders(HttpHeaders headers, String server, PlacementRequest request, Prompt prompt) {
         long version = endpoints.expectedWeights(server);
         if (version == 0) {
             if (!prompt.isolationKey().isEmpty()) {
@@ -48,16 +48,17 @@
         String salt = VERSION_PREFIX + version + prompt.isolationKey();
         headers.set(CACHE_SALT, salt).set(EXPECT_VERSION, version);
         long[] blocks = prompt.blocks(salt);
-        setTransfers(headers, server, job, prompt, version, blocks);
+        setTransfers(headers, server, request, prompt, version, blocks);
         return blocks;
     }
 
-    private void setTransfers(HttpHeaders headers, String server, Job job, Prompt prompt, long version, long[] blocks) {
+    private void setTransfers(
+            HttpHeaders headers, String server, PlacementRequest request, Prompt prompt, long version, long[] blocks) {
         String source = endpoints
                 .placement()
-                .source(
+                .prefixSource(
                         clock.now(),
-                        job,
+                        request,
                         server,
                         other -> endpoints.weights(other) == version ? cachedTokens(other, blocks, prompt) : 0);
         boolean usable = source != null && endpoints.weights(source) == version;
--- a/src/main/java/quartzspan/frontend/ProxiedRequest.java
+++ b/src/main/java/quartzspan/frontend/ProxiedRequest.java
@@ -18,7 +18,7 @@
 import quartzspan.http.HttpServer;
 import quartzspan.http.OutgoingRequest;
 import quartzspan.loadbalancing.LoadBalancer.Outcome;
-import quartzspan.loadbalancing.PrefixAwarePlacement.Job;
+import quartzspan.loadbalancing.PlacementRequest;
 
 /**
  * One request of a client: forwards it to a server, to another one if it was surely not executed or may be repeated, and the
@@ -46,7 +46,7 @@
     private final FrontendProxy proxy;
     private final HttpServer.ClientConnection client;
     private final Route route;
-    private final Job job;
+    private final PlacementRequest placementRequest;
     private final OutgoingRequest request;
     private final String attemptId;
     private final long deadlineUs;
@@ -73,7 +73,7 @@
             FrontendProxy proxy,
             HttpServer.ClientConnection client,
             Route route,
-            Job job,
+            PlacementRequest placementRequest,
             OutgoingRequest request,
             long deadlineUs,
             Prompt prompt) {
@@ -81,7 +81,7 @@
         this.proxy = proxy;
         this.client = client;
         this.route = route;
-        this.job = job;
+        this.placementRequest = placementRequest;
         this.request = request;
         this.attemptId = request.headers().get(ATTEMPT_ID);
         this.deadlineUs = deadlineUs - DEADLINE_MARGIN_US;
@@ -103,8 +103,8 @@
         server = to;
         head = null;
         HttpHeaders headers = new DefaultHttpHeaders().set(request.headers()).set("X-Expected-Instance", to);
-        blocks = proxy.prefixCacheRouting().setHeaders(headers, to, job, prompt);
-        proxy.endpoints().placement().sent(to, job);
+        blocks = proxy.prefixCacheRouting().setHeaders(headers, to, placementRequest, prompt);
+        proxy.endpoints().placement().onSent(to, placementRequest);
         attempt = proxy.connectionPool()
                 .attempt(
                         endpoint,
@@ -124,7 +124,7 @@
             return again;
         }
         return reached.size() < route.maxAttempts()
-                ? proxy.endpoints().placement().pick(proxy.now(), job, tried)
+                ? proxy.endpoints().placement().pick(proxy.now(), placementRequest, tried)
                 : null;
     }
 
@@ -183,7 +183,7 @@
             return false;
         }
         responseStarted = true;
-        proxy.endpoints().placement().answering(server);
+        proxy.endpoints().placement().onResponseStarted(server);
         for (int i = 0; i < blocks.length; i++) {
             proxy.prefixCacheIndex().onPrefill(server, blocks[i], (int) prompt.tokens()[i]);
         }
@@ -220,7 +220,7 @@
     private void onAttemptEnded(Outcome outcome, Response answer) {
         boolean stale = attempt.isStale();
         // That a server closes idle connections does not make it a failing one.
-        proxy.endpoints().placement().ended(proxy.now(), server, job, stale ? Outcome.IGNORED : outcome);
+        proxy.endpoints().placement().onEnded(proxy.now(), server, placementRequest, stale ? Outcome.IGNORED : outcome);
         attempt = null;
         if (ended) {
             return;
@@ -251,13 +251,13 @@
                 boolean mayRun = proxy.endpoints().onVersionMismatch(server);
                 nextServer = mayRun && sends < MAX_SENDS ? server : null;
             } else {
-                proxy.endpoints().placement().moved(proxy.now(), server);
+                proxy.endpoints().placement().onMisdirected(proxy.now(), server);
             }
         }
         boolean again = (!mayHaveExecuted || route.repeatable())
                 && (nextServer != null || reached.size() < route.maxAttempts())
                 && tried.size() < MAX_SERVERS_TRIED
-                && (!arrived || proxy.endpoints().placement().mayRepeat());
+                && (!arrived || proxy.retryBudget().tryAcquire());
         if (outcome == Outcome.FAILED
                 && answer != null
                 && (route.repeatable() || !promisesNotExecuted(head.status()))) {
--- a/src/main/java/quartzspan/frontend/RequestClassifier.java
+++ b/src/main/java/quartzspan/frontend/RequestClassifier.java
@@ -13,7 +13,7 @@
 import quartzspan.configuration.Configuration.Tenant;
 import quartzspan.http.HttpFraming;
 import quartzspan.http.OutgoingRequest;
-import quartzspan.loadbalancing.PrefixAwarePlacement.Job;
+import quartzspan.loadbalancing.PlacementRequest;
 
 /** Works out what a client's request is by the configuration: its route, tenant, headers, deadline and placement key. */
 final class RequestClassifier {
@@ -93,7 +93,7 @@
     }
 
     /** What the placement needs: the key is the model, the isolation and the prompt blocks that other requests share. */
-    Job job(Route route, HttpRequest in, Tenant tenant) {
+    PlacementRequest placementRequest(Route route, HttpRequest in, Tenant tenant) {
         HttpHeaders headers = in.headers();
         String[] tokens = headers.get(TOKEN_COUNT, "0,0").split(",", 2);
         String prefix = headers.get(PROMPT_PREFIX);
@@ -103,7 +103,7 @@
             String shared = last < 0 ? prefix : prefix.substring(0, last);
             key = headers.get(MODEL, "") + '|' + (isIsolated(tenant) ? tenant.name() : "") + '|' + shared;
         }
-        return new Job(
+        return new PlacementRequest(
                 chooseService(route),
                 key,
                 Math.max(0, HttpFraming.number(tokens[0].trim())),
--- a/src/main/java/quartzspan/loadbalancing/PrefixAwarePlacement.java
+++ b/src/main/java/quartzspan/loadbalancing/PrefixAwarePlacement.java
@@ -11,319 +11,241 @@
 
 /**
  * Where a proxy of the fleet sends each request: ring hash as in gRPC A76, one ring for each service, for servers that run
- * batches and keep prompts. Like all of the module it has no clock, thread or I/O; times are microseconds.
+ * batches and cache prompts. Like all of the module it has no clock, thread or I/O; times are microseconds.
  *
  * <p>A server's ring points come from its instance id. A keyed request goes to the next usable owner from its key's hash on:
- * listed as ready, not failing, not full of late, and not beyond its bounded part of the work that is out. A keyless request
+ * listed as ready, not failing, not full of late, and not beyond its bounded part of the outstanding work. A keyless request
  * walks from a random hash: a usable server without a connection takes it if it comes before any connected one and no
  * connection is being opened, else the first usable connected one does.
  */
 public final class PrefixAwarePlacement {
-    /** Ring points of a server. */
-    private static final int POINTS = 120;
-    /** Bounded load: a server may have this multiple of its fair part of the work that is out. */
-    private static final double BOUND = 1.35;
-    /** A server younger than this may lack what the next owner kept in its place. */
-    private static final long YOUNG_US = 12_000_000;
-    /** Tokens that are worth a move: fewer are read as fast. */
-    private static final long WORTH_MOVING = 100;
-    /** Keys of which is remembered who ran them last. */
-    private static final int MOST_KEYS = 8_192;
-    /** Failed connections or answers in a row that make a server failing, and for how long at first and at most. */
-    private static final int FAILURES = 2;
-
-    private static final long ASIDE_US = 700_000;
-    private static final long LONGEST_ASIDE_US = 6_000_000;
-    /** How long a server that was full is passed over. */
-    private static final long FULL_US = 150_000;
-    /** Share of the retry budget that is used: what others count, and when, differs a little. */
-    private static final double BUDGET_PART = 0.7;
-    /** Work of a token written against one read. */
-    private static final double WRITTEN = 10;
-
-    /**
-     * A request to be placed.
-     *
-     * @param key what it is about, or null
-     * @param tokensIn tokens of its prompt, and {@code tokensOut} the most it may write
-     */
-    public record Job(String service, String key, long tokensIn, long tokensOut) {
-        double work() {
-            return 200 + tokensIn + WRITTEN * tokensOut;
-        }
-    }
-
-    /** What the index of kept prompts says of a request. */
-    public interface Kept {
-        /** Tokens of its prompt that a server keeps, under the weights and wall at hand. */
-        long tokens(String server);
-    }
-
-    /** What the proxy knows of its connections. */
-    public interface Connections {
-        boolean connected(String server);
-
-        boolean reachable(String server);
-    }
-
-    private static final class Node {
-        final String id;
-        final String service;
-        boolean ready;
-        boolean busy;
-        int failures;
-        long asideUntil;
-        long asideFor = ASIDE_US;
-        long fullUntil;
-        double out;
-        int seen;
-        long since;
-
-        Node(String id, String service) {
-            this.id = id;
-            this.service = service;
-        }
-    }
-
-    private static final class Group {
-        final Ring<Node> ring = new Ring<>();
-        int listed;
-        double out;
-    }
+    /** Bounded load: a server may have this multiple of its fair part of the outstanding work. */
+    private static final double LOAD_BOUND = 1.35;
+    /** Cached tokens that are worth a transfer: fewer are computed as fast. */
+    private static final long MIN_TRANSFER_TOKENS = 100;
+    /** Keys of which is remembered which server ran them last. */
+    private static final int MAX_REMEMBERED_KEYS = 8_192;
 
     private final SplittableRandom random;
-    private final Connections connections;
-    private final Map<String, Node> nodes = new HashMap<>();
-    private final Map<String, Group> groups = new HashMap<>();
-    private int walk;
-    private Node opening;
-    private double tokens;
-    private final Map<String, String> lastOf = new LinkedHashMap<>(64, 0.75f, true) {
+    private final ServerConnections connections;
+    private final Map<String, PlacementServer> servers = new HashMap<>();
+    private final Map<String, ServiceRing> rings = new HashMap<>();
+    private final Map<String, String> lastServerOfKey = new LinkedHashMap<>(64, 0.75f, true) {
         private static final long serialVersionUID = 1L;
 
         @Override
         protected boolean removeEldestEntry(Map.Entry<String, String> eldest) {
-            return size() > MOST_KEYS;
+            return size() > MAX_REMEMBERED_KEYS;
         }
     };
+    private int walks;
+    /** The server to which a connection is being opened; null if there is none. */
+    private PlacementServer connecting;
 
-    public PrefixAwarePlacement(long seed, Connections connections) {
+    public PrefixAwarePlacement(long seed, ServerConnections connections) {
         this.random = new SplittableRandom(seed);
         this.connections = connections;
     }
 
     // ---- servers -------------------------------------------------------------------------------------
 
-    /** A server as last heard of, and whether it is busy with other than requests; a new life of one has a new id. */
-    public void listed(long now, String id, String service, boolean ready, boolean busy) {
-        Node n = nodes.get(id);
-        if (n == null) {
-            n = new Node(id, service);
-            n.since = now;
-            nodes.put(id, n);
-            Group g = groups.computeIfAbsent(service, s -> new Group());
-            g.ring.add(n, Ring.points(Ring.HASH.hashCharsToLong(id), POINTS));
-            g.ring.merge();
-            g.listed++;
-        }
-        if (ready && !n.ready) {
-            n.failures = 0;
-            n.asideUntil = 0;
+    /**
+     * A server as it is listed now. A new incarnation of a server has a new id.
+     *
+     * @param loading whether it is loading weights, and runs no requests meanwhile
+     */
+    public void onListed(long now, String id, String service, boolean ready, boolean loading) {
+        PlacementServer server = servers.get(id);
+        if (server == null) {
+            server = new PlacementServer(id, service, now);
+            servers.put(id, server);
+            rings.computeIfAbsent(service, s -> new ServiceRing()).add(server);
         }
-        n.ready = ready;
-        n.busy = busy;
+        server.onListed(ready, loading);
     }
 
     /** A server that is no more. */
-    public void gone(String id) {
-        Node n = nodes.remove(id);
-        if (n != null) {
-            Group g = groups.get(n.service);
-            g.ring.remove(n);
-            g.ring.merge();
-            g.listed--;
-            g.out -= n.out;
-            n.ready = false;
-            opening = opening == n ? null : opening;
+    public void onGone(String id) {
+        PlacementServer server = servers.remove(id);
+        if (server != null) {
+            rings.get(server.service()).remove(server);
+            onConnected(server);
         }
     }
 
-    /** Whether any server of a service is listed as ready. */
-    public boolean serves(String service) {
-        return nodes.values().stream().anyMatch(n -> n.service.equals(service) && n.ready);
+    private void onConnected(PlacementServer server) {
+        connecting = connecting == server ? null : connecting;
     }
 
     // ---- requests ------------------------------------------------------------------------------------
 
-    /** A request came: it earns part of a repeat. {@code proxies} share what may be repeated. */
-    public void came(double ratio, double allowance, int proxies) {
-        tokens = Math.min(BUDGET_PART * allowance / Math.max(1, proxies), tokens + BUDGET_PART * ratio);
-    }
-
-    /** Takes one repeat from the budget, if there is one. */
-    public boolean mayRepeat() {
-        if (tokens < 1) {
-            return false;
-        }
-        tokens--;
-        return true;
-    }
-
     /** The server that is to run a request; null if none can. Not one of those tried. */
-    public String pick(long now, Job job, Set<String> tried) {
-        Group g = groups.get(job.service());
-        if (g == null || g.listed == 0) {
+    public String pick(long now, PlacementRequest request, Set<String> tried) {
+        ServiceRing ring = rings.get(request.service());
+        if (ring == null || ring.isEmpty()) {
             return null;
         }
-        walk++;
-        long hash = job.key() != null ? Ring.HASH.hashCharsToLong(job.key()) : random.nextLong();
-        int from = g.ring.first(hash);
-        int left = g.listed;
-        Node least = null;
-        Node failing = null;
-        List<Node> usable = new ArrayList<>(left);
-        for (int k = 0; k < g.ring.size() && left > 0; k++) {
-            Node n = g.ring.owner(from + k);
-            if (n.seen == walk) {
-                continue;
-            }
-            n.seen = walk;
-            left--;
-            if (!n.ready || tried.contains(n.id) || !connections.reachable(n.id)) {
+        long hash = request.key() != null ? Ring.HASH.hashCharsToLong(request.key()) : random.nextLong();
+        List<PlacementServer> usable = new ArrayList<>();
+        PlacementServer lastResort = null;
+        for (PlacementServer server : ring.walk(hash, ++walks)) {
+            if (!server.isReady() || tried.contains(server.id()) || !connections.isReachable(server.id())) {
                 continue;
             }
-            if (now < n.asideUntil || n.busy) {
-                failing = failing == null ? n : failing;
-                continue;
+            if (!server.isLastResort(now)) {
+                usable.add(server);
+            } else if (lastResort == null) {
+                lastResort = server;
             }
-            usable.add(n);
-            least = least == null || n.out < least.out ? n : least;
         }
-        double bound = BOUND * (g.out + job.work()) / Math.max(1, usable.size());
-        Node spare = null;
-        for (Node n : usable) {
-            boolean fits = n.out == 0 || n.out + job.work() <= bound;
-            if (!fits || now < n.fullUntil) {
+        PlacementServer picked = usable.isEmpty() ? lastResort : pickUsable(now, request, ring, usable);
+        return picked == null ? null : picked(picked);
+    }
+
+    /** The first on the walk that has room and fits the connection rule, else the one with the least work. */
+    private PlacementServer pickUsable(
+            long now, PlacementRequest request, ServiceRing ring, List<PlacementServer> usable) {
+        double bound = LOAD_BOUND * (ring.outstandingWork() + request.work()) / usable.size();
+        PlacementServer unconnected = null;
+        for (PlacementServer server : usable) {
+            double work = server.outstandingWork();
+            boolean hasRoom = work == 0 || work + request.work() <= bound;
+            if (!hasRoom || server.isFull(now)) {
                 continue;
             }
-            boolean connected = connections.connected(n.id);
-            if (job.key() != null || connected || opening == null || opening == n) {
-                return chosen(n, connected);
+            boolean mayConnect = connecting == null || connecting == server;
+            if (request.key() != null || mayConnect || connections.isConnected(server.id())) {
+                return server;
             }
-            spare = spare == null ? n : spare;
+            unconnected = unconnected == null ? server : unconnected;
         }
-        Node n = spare != null ? spare : least != null ? least : failing;
-        return n == null ? null : chosen(n, connections.connected(n.id));
+        return unconnected != null ? unconnected : leastLoaded(usable);
     }
 
-    private String chosen(Node n, boolean connected) {
-        if (!connected && opening == null) {
-            opening = n;
+    private static PlacementServer leastLoaded(List<PlacementServer> usable) {
+        PlacementServer least = usable.get(0);
+        for (PlacementServer server : usable) {
+            least = server.outstandingWork() < least.outstandingWork() ? server : least;
         }
-        return n.id;
+        return least;
     }
 
-    /** A request goes to a server. */
-    public void sent(String server, Job job) {
-        add(server, job.work());
-        if (job.key() != null) {
-            lastOf.put(job.key(), server);
+    private String picked(PlacementServer server) {
+        if (connecting == null && !connections.isConnected(server.id())) {
+            connecting = server;
         }
+        return server.id();
     }
 
-    /**
-     * The server from which another is to fetch what it lacks of a prompt: who keeps the most by the index; where the index
-     * knows of nobody, who most likely does: the key's owner, or who ran the key last, or the next owner as long as the
-     * owner is new. To be asked before {@link #sent}. Null if there is none, or reading anew is as well.
-     */
-    public String source(long now, Job job, String server, Kept kept) {
-        Group g = groups.get(job.service());
-        if (job.key() == null || g == null) {
-            return null;
-        }
-        long most = kept.tokens(server) + WORTH_MOVING;
-        Node best = null;
-        for (Node n : nodes.values()) {
-            if (n.service.equals(job.service()) && !n.id.equals(server) && now >= n.asideUntil) {
-                long has = kept.tokens(n.id);
-                if (has > most || has == most && best != null && n.out < best.out) {
-                    most = has;
-                    best = n;
-                }
-            }
+    /** A request is sent to a server. */
+    public void onSent(String server, PlacementRequest request) {
+        addWork(server, request.work());
+        if (request.key() != null) {
+            lastServerOfKey.put(request.key(), server);
         }
-        if (best != null) {
-            return best.id;
-        }
-        if (most > WORTH_MOVING) {
-            return null;
+    }
+
+    private void addWork(String id, double work) {
+        PlacementServer server = servers.get(id);
+        if (server != null) {
+            server.addWork(work);
+            rings.get(server.service()).addWork(work);
         }
-        int from = g.ring.first(Ring.HASH.hashCharsToLong(job.key()));
-        Node owner = null;
-        Node next = null;
-        for (int k = 0; k < g.ring.size() && next == null; k++) {
-            Node n = g.ring.owner(from + k);
-            if (now < n.asideUntil || n == owner) {
-                continue;
-            }
-            next = owner == null ? null : n;
-            owner = owner == null ? n : owner;
+    }
+
+    /** A response has begun, so a connection is established. */
+    public void onResponseStarted(String id) {
+        PlacementServer server = servers.get(id);
+        if (server != null) {
+            onConnected(server);
+            server.onSuccess();
         }
-        if (owner == null || !owner.id.equals(server) && now - owner.since > YOUNG_US) {
-            return owner == null ? null : owner.id;
+    }
+
+    /** An attempt at a server has ended. */
+    public void onEnded(long now, String id, PlacementRequest request, Outcome outcome) {
+        addWork(id, -request.work());
+        PlacementServer server = servers.get(id);
+        if (server == null) {
+            return;
         }
-        Node last = nodes.get(lastOf.getOrDefault(job.key(), server));
-        if (last != null && !last.id.equals(server) && now >= last.asideUntil) {
-            return last.id;
+        onConnected(server);
+        switch (outcome) {
+            case OK -> server.onSuccess();
+            case QUEUE_FULL -> server.onFull(now);
+            case CONNECT_ERROR, RESET, FAILED -> server.onFailure(now, outcome);
+            default -> {}
         }
-        return !owner.id.equals(server) ? owner.id : next != null && now - owner.since < YOUNG_US ? next.id : null;
     }
 
-    private void add(String server, double work) {
-        Node n = nodes.get(server);
-        if (n != null) {
-            n.out = Math.max(0, n.out + work);
-            Group g = groups.get(n.service);
-            g.out = Math.max(0, g.out + work);
+    /** Another server answers at a server's address: it is gone, whatever the list says. */
+    public void onMisdirected(long now, String id) {
+        PlacementServer server = servers.get(id);
+        if (server != null) {
+            server.onMisdirected(now);
         }
     }
 
-    /** The first of an answer came, or a connection is up: it isn't being opened any more. */
-    public void answering(String server) {
-        Node n = nodes.get(server);
-        if (n != null) {
-            opening = opening == n ? null : opening;
-            n.failures = 0;
-            n.asideFor = ASIDE_US;
+    // ---- cached prompts ------------------------------------------------------------------------------
+
+    /**
+     * The server from which another is to fetch what it lacks of a prompt: the one that has cached the most by the index;
+     * where the index knows of none, the one that most likely has. To be asked before {@link #onSent}. Null if there is none,
+     * or computing is as fast.
+     */
+    public String prefixSource(long now, PlacementRequest request, String server, CachedTokens cached) {
+        ServiceRing ring = rings.get(request.service());
+        if (request.key() == null || ring == null) {
+            return null;
+        }
+        long cachedHere = cached.at(server);
+        PlacementServer indexed = indexedSource(now, request, server, cached, cachedHere);
+        if (indexed != null) {
+            return indexed.id();
         }
+        PlacementServer likely = cachedHere > 0 ? null : likelySource(now, request, server, ring);
+        return likely == null ? null : likely.id();
     }
 
-    /** What was sent to a server has ended. */
-    public void ended(long now, String server, Job job, Outcome outcome) {
-        add(server, -job.work());
-        Node n = nodes.get(server);
-        if (n == null) {
-            return;
-        }
-        opening = opening == n ? null : opening;
-        switch (outcome) {
-            case OK -> answering(server);
-            case QUEUE_FULL -> n.fullUntil = now + FULL_US;
-            case CONNECT_ERROR, RESET, FAILED -> {
-                if (++n.failures >= FAILURES || outcome == Outcome.CONNECT_ERROR) {
-                    n.asideUntil = now + n.asideFor;
-                    n.asideFor = Math.min(LONGEST_ASIDE_US, 2 * n.asideFor);
-                }
+    private PlacementServer indexedSource(
+            long now, PlacementRequest request, String server, CachedTokens cached, long cachedHere) {
+        long most = cachedHere + MIN_TRANSFER_TOKENS;
+        PlacementServer best = null;
+        for (PlacementServer other : servers.values()) {
+            if (!other.service().equals(request.service()) || other.id().equals(server) || other.isEjected(now)) {
+                continue;
+            }
+            long tokens = cached.at(other.id());
+            boolean lessLoaded = tokens == most && best != null && other.outstandingWork() < best.outstandingWork();
+            if (tokens > most || lessLoaded) {
+                most = tokens;
+                best = other;
             }
-            default -> {}
         }
+        return best;
     }
 
-    /** A server's address answers as somebody else: it is gone, whatever the list says. */
-    public void moved(long now, String server) {
-        Node n = nodes.get(server);
-        if (n != null) {
-            n.asideUntil = now + LONGEST_ASIDE_US;
+    /** The key's owner, or the server that ran the key last, or the next owner as long as the owner is new. */
+    private PlacementServer likelySource(long now, PlacementRequest request, String server, ServiceRing ring) {
+        List<PlacementServer> owners = ring.walk(Ring.HASH.hashCharsToLong(request.key()), ++walks).stream()
+                .filter(owner -> !owner.isEjected(now))
+                .limit(2)
+                .toList();
+        if (owners.isEmpty()) {
+            return null;
+        }
+        PlacementServer owner = owners.get(0);
+        boolean ownsItself = owner.id().equals(server);
+        if (!ownsItself && !owner.isYoung(now)) {
+            return owner;
+        }
+        PlacementServer last = servers.get(lastServerOfKey.getOrDefault(request.key(), server));
+        if (last != null && !last.id().equals(server) && !last.isEjected(now)) {
+            return last;
+        }
+        if (!ownsItself) {
+            return owner;
         }
+        return owners.size() > 1 && owner.isYoung(now) ? owners.get(1) : null;
     }
 }
--- /dev/null
+++ b/src/main/java/quartzspan/loadbalancing/ServiceRing.java
@@ -0,0 +1,51 @@
+package quartzspan.loadbalancing;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** The servers of one service on their ring, and the work that they have together. */
+final class ServiceRing {
+    private static final int POINTS_PER_SERVER = 120;
+
+    private final Ring<PlacementServer> ring = new Ring<>();
+    private int servers;
+    private double outstandingWork;
+
+    void add(PlacementServer server) {
+        ring.add(server, Ring.points(Ring.HASH.hashCharsToLong(server.id()), POINTS_PER_SERVER));
+        ring.merge();
+        servers++;
+    }
+
+    void remove(PlacementServer server) {
+        ring.remove(server);
+        ring.merge();
+        servers--;
+        outstandingWork -= server.outstandingWork();
+    }
+
+    boolean isEmpty() {
+        return servers == 0;
+    }
+
+    double outstandingWork() {
+        return outstandingWork;
+    }
+
+    void addWork(double work) {
+        outstandingWork = Math.max(0, outstandingWork + work);
+    }
+
+    /** All servers in the order of their first points from a hash on. */
+    List<PlacementServer> walk(long hash, int walk) {
+        List<PlacementServer> met = new ArrayList<>(servers);
+        int first = ring.first(hash);
+        for (int step = 0; step < ring.size() && met.size() < servers; step++) {
+            PlacementServer server = ring.owner(first + step);
+            if (server.visit(walk)) {
+                met.add(server);
+            }
+        }
+        return met;
+    }
+}
--- a/src/test/java/quartzspan/loadbalancing/PrefixAwarePlacementTest.java
+++ b/src/test/java/quartzspan/loadbalancing/PrefixAwarePlacementTest.java
@@ -1,7 +1,6 @@
 package quartzspan.loadbalancing;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -12,31 +11,30 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import quartzspan.loadbalancing.LoadBalancer.Outcome;
-import quartzspan.loadbalancing.PrefixAwarePlacement.Job;
 
 /** The design on the fleet's ordinary path: points from ids, the next usable owner, one connection at a time. */
 class PrefixAwarePlacementTest {
     private final Set<String> connected = new HashSet<>();
-    private final PrefixAwarePlacement placement = new PrefixAwarePlacement(7, new PrefixAwarePlacement.Connections() {
+    private final PrefixAwarePlacement placement = new PrefixAwarePlacement(7, new ServerConnections() {
         @Override
-        public boolean connected(String server) {
+        public boolean isConnected(String server) {
             return connected.contains(server);
         }
 
         @Override
-        public boolean reachable(String server) {
+        public boolean isReachable(String server) {
             return true;
         }
     });
 
     PrefixAwarePlacementTest() {
         for (int i = 0; i < 6; i++) {
-            placement.listed(0, "i-" + i, "s", true, false);
+            placement.onListed(0, "i-" + i, "s", true, false);
         }
     }
 
-    private static Job job(String key) {
-        return new Job("s", key, 100, 10);
+    private static PlacementRequest request(String key) {
+        return new PlacementRequest("s", key, 100, 10);
     }
 
     @Test
@@ -44,14 +42,14 @@
         Map<String, Integer> shares = new HashMap<>();
         for (int k = 0; k < 600; k++) {
             String key = "k" + k;
-            String owner = placement.pick(0, job(key), Set.of());
+            String owner = placement.pick(0, request(key), Set.of());
             shares.merge(owner, 1, Integer::sum);
-            assertEquals(owner, placement.pick(0, job(key), Set.of()), "the same each time");
-            String next = placement.pick(0, job(key), Set.of(owner));
-            placement.listed(0, owner, "s", false, false);
-            assertEquals(next, placement.pick(0, job(key), Set.of()), "draining: the next owner");
-            placement.listed(0, owner, "s", true, false);
-            assertEquals(owner, placement.pick(0, job(key), Set.of()));
+            assertEquals(owner, placement.pick(0, request(key), Set.of()), "the same each time");
+            String next = placement.pick(0, request(key), Set.of(owner));
+            placement.onListed(0, owner, "s", false, false);
+            assertEquals(next, placement.pick(0, request(key), Set.of()), "draining: the next owner");
+            placement.onListed(0, owner, "s", true, false);
+            assertEquals(owner, placement.pick(0, request(key), Set.of()));
         }
         assertTrue(shares.values().stream().allMatch(n -> n > 45 && n < 180), shares.toString());
     }
@@ -61,85 +59,72 @@
         PrefixAwarePlacement other = new PrefixAwarePlacement(7, null);
         Map<String, String> owners = new HashMap<>();
         for (int k = 0; k < 100; k++) {
-            owners.put("k" + k, placement.pick(0, job("k" + k), Set.of()));
+            owners.put("k" + k, placement.pick(0, request("k" + k), Set.of()));
         }
-        placement.gone("i-0");
-        placement.listed(0, "i-0-again", "s", true, false);
+        placement.onGone("i-0");
+        placement.onListed(0, "i-0-again", "s", true, false);
         int movedAmongOthers = 0;
         int same = 0;
         for (int k = 0; k < 100; k++) {
-            String now = placement.pick(0, job("k" + k), Set.of());
+            String now = placement.pick(0, request("k" + k), Set.of());
             String before = owners.get("k" + k);
             movedAmongOthers += !before.equals("i-0") && !now.equals(before) && !now.equals("i-0-again") ? 1 : 0;
             same += before.equals("i-0") && now.equals("i-0-again") ? 1 : 0;
         }
         assertEquals(0, movedAmongOthers);
         assertTrue(same < 12, "points come from the id, not from the place");
-        assertNull(other.pick(0, job("k"), Set.of()));
+        assertNull(other.pick(0, request("k"), Set.of()));
     }
 
     @Test
     void keylessRequestsOpenOneConnectionAtATime() {
-        String first = placement.pick(0, job(null), Set.of());
-        placement.sent(first, job(null));
+        String first = placement.pick(0, request(null), Set.of());
+        placement.onSent(first, request(null));
         connected.add("i-3");
         if (!first.equals("i-3")) {
             for (int i = 0; i < 50; i++) {
-                String next = placement.pick(0, job(null), Set.of());
+                String next = placement.pick(0, request(null), Set.of());
                 assertTrue(next.equals("i-3") || next.equals(first), "a second connection to " + next);
             }
         }
-        placement.answering(first);
+        placement.onResponseStarted(first);
         Set<String> later = new HashSet<>();
         for (int i = 0; i < 50; i++) {
-            String next = placement.pick(0, job(null), Set.of());
+            String next = placement.pick(0, request(null), Set.of());
             later.add(next);
-            placement.answering(next);
+            placement.onResponseStarted(next);
         }
         assertTrue(later.size() > 2, "none is being opened: the walk's first takes it");
     }
 
     @Test
     void failingServersArePassedOverForAWhile() {
-        String owner = placement.pick(0, job("k"), Set.of());
-        placement.sent(owner, job("k"));
-        placement.ended(0, owner, job("k"), Outcome.CONNECT_ERROR);
-        assertNotEquals(owner, placement.pick(1_000, job("k"), Set.of()));
-        assertEquals(owner, placement.pick(900_000, job("k"), Set.of()));
-        placement.listed(0, owner, "s", true, true);
-        assertNotEquals(owner, placement.pick(900_000, job("k"), Set.of()), "it loads weights");
+        String owner = placement.pick(0, request("k"), Set.of());
+        placement.onSent(owner, request("k"));
+        placement.onEnded(0, owner, request("k"), Outcome.CONNECT_ERROR);
+        assertNotEquals(owner, placement.pick(1_000, request("k"), Set.of()));
+        assertEquals(owner, placement.pick(900_000, request("k"), Set.of()));
+        placement.onListed(0, owner, "s", true, true);
+        assertNotEquals(owner, placement.pick(900_000, request("k"), Set.of()), "it loads weights");
     }
 
     @Test
     void anOwnerTakesItsPartOfTheWorkAndNoMore() {
         Map<String, Integer> out = new HashMap<>();
         for (int i = 0; i < 60; i++) {
-            String to = placement.pick(0, job("hot"), Set.of());
-            placement.sent(to, job("hot"));
+            String to = placement.pick(0, request("hot"), Set.of());
+            placement.onSent(to, request("hot"));
             out.merge(to, 1, Integer::sum);
         }
         assertTrue(out.values().stream().allMatch(n -> n <= 15), out.toString());
     }
 
-    @Test
-    void repeatsAreEarnedAndAFreshLifeHasNone() {
-        assertFalse(placement.mayRepeat());
-        for (int i = 0; i < 100; i++) {
-            placement.came(0.2, 60, 6);
-        }
-        int repeats = 0;
-        while (placement.mayRepeat()) {
-            repeats++;
-        }
-        assertTrue(repeats <= 10 && repeats >= 5, repeats + " repeats");
-    }
-
     @Test
     void whoKeepsMostIsTheSource() {
-        String to = placement.pick(20_000_000, job("k"), Set.of());
+        String to = placement.pick(20_000_000, request("k"), Set.of());
         String other = to.equals("i-1") ? "i-2" : "i-1";
-        assertEquals(other, placement.source(20_000_000, job("k"), to, s -> s.equals(other) ? 5_000 : 0));
-        assertNull(placement.source(20_000_000, job("k"), to, s -> 5_000), "it has as much itself");
-        assertNull(placement.source(20_000_000, job(null), to, s -> 0));
+        assertEquals(other, placement.prefixSource(20_000_000, request("k"), to, s -> s.equals(other) ? 5_000 : 0));
+        assertNull(placement.prefixSource(20_000_000, request("k"), to, s -> 5_000), "it has as much itself");
+        assertNull(placement.prefixSource(20_000_000, request(null), to, s -> 0));
     }
 }
