--- a/src/main/java/quartzspan/controlplane/ControlPlane.java
+++ b/src/main/java/quartzspan/controlplane/ControlPlane.java
@@ -28,6 +28,7 @@
 import quartzspan.registry.HeartbeatTracker;
 import quartzspan.registry.Registry;
 import quartzspan.registry.RegistryEntry;
+import quartzspan.registry.WeightsDeadlines;
 import quartzspan.replication.ControlState;
 import quartzspan.replication.Replica;
 import quartzspan.replication.ReplicaMessage;
--- a/src/main/java/quartzspan/controlplane/HeartbeatHandler.java
+++ b/src/main/java/quartzspan/controlplane/HeartbeatHandler.java
@@ -10,6 +10,7 @@
 import quartzspan.registry.Registry;
 import quartzspan.registry.RegistryEntry;
 import quartzspan.registry.Server;
+import quartzspan.registry.WeightsDeadlines;
 
 /** Applies the heartbeats and deregistrations of servers to the registry. No clock, no I/O; times are milliseconds of a steady clock. */
 final class HeartbeatHandler {
--- a/src/main/java/quartzspan/controlplane/RolloutActions.java
+++ b/src/main/java/quartzspan/controlplane/RolloutActions.java
@@ -16,6 +16,7 @@
 import quartzspan.registry.Registry;
 import quartzspan.registry.RegistryEntry;
 import quartzspan.registry.Server;
+import quartzspan.registry.WeightsDeadlines;
 import quartzspan.replication.Change;
 import quartzspan.replication.ControlState;
 import quartzspan.replication.Epoch;
--- a/src/main/java/quartzspan/controlplane/RolloutPlanner.java
+++ b/src/main/java/quartzspan/controlplane/RolloutPlanner.java
@@ -8,6 +8,7 @@
 import java.util.TreeMap;
 import quartzspan.registry.RegistryEntry;
 import quartzspan.registry.Server;
+import quartzspan.registry.WeightsDeadlines;
 
 /**
  * Brings servers to the target versions of their weights: compares the target versions of the control state with the versions
--- a/src/main/java/quartzspan/controlplane/RolloutRound.java
+++ b/src/main/java/quartzspan/controlplane/RolloutRound.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import quartzspan.registry.Server;
+import quartzspan.registry.WeightsDeadlines;
 
 /**
  * The state of a model's servers in one planning round: how many lack each target version, and how many of those are loading.
--- a/src/main/java/quartzspan/controlplane/WeightsDeadlines.java
+++ b/src/main/java/quartzspan/registry/WeightsDeadlines.java
@@ -1,4 +1,4 @@
-package quartzspan.controlplane;
+package quartzspan.registry;
 
 import java.util.Collections;
 import java.util.HashMap;
@@ -15,21 +15,21 @@
  * <p>Every core machine observes all target versions, so that a new primary knows the deadlines of those set before its
  * election.
  */
-final class WeightsDeadlines {
+public final class WeightsDeadlines {
     /** The deadline of a server that lacks no target version. */
-    static final long NO_DEADLINE = Long.MAX_VALUE;
+    public static final long NO_DEADLINE = Long.MAX_VALUE;
 
     private final long applyMs;
     /** Deadlines by model and version; within a model they increase with the version. */
     private final Map<String, NavigableMap<Long, Long>> deadlines = new HashMap<>();
 
     /** @param applyMs time within which all servers must have a target version */
-    WeightsDeadlines(long applyMs) {
+    public WeightsDeadlines(long applyMs) {
         this.applyMs = applyMs;
     }
 
     /** Records the current target versions, by model. */
-    void observe(long now, Map<String, Long> targets) {
+    public void observe(long now, Map<String, Long> targets) {
         targets.forEach((model, version) -> {
             NavigableMap<Long, Long> known = deadlines.computeIfAbsent(model, m -> new TreeMap<>());
             if (known.isEmpty() || known.lastKey() < version) {
@@ -62,29 +62,29 @@
     }
 
     /** The target versions of a model that servers must have, with their deadlines. */
-    NavigableMap<Long, Long> targetsOf(String model) {
+    public NavigableMap<Long, Long> targetsOf(String model) {
         return Collections.unmodifiableNavigableMap(deadlines.getOrDefault(model, new TreeMap<>()));
     }
 
     /** The time by which a server with this weights version must have a newer one. */
-    long deadlineOf(String model, long weightsVersion) {
+    public long deadlineOf(String model, long weightsVersion) {
         Map.Entry<Long, Long> earliestTarget = targetsOf(model).higherEntry(weightsVersion);
         return earliestTarget == null ? NO_DEADLINE : earliestTarget.getValue();
     }
 
     /** The latest version whose deadline is not after a time; 0 if there is none. */
-    long latestOverdueVersion(long time, String model) {
+    public long latestOverdueVersion(long time, String model) {
         Long latest = latestDueBy(time, targetsOf(model));
         return latest == null ? 0 : latest;
     }
 
     /** A fraction of the time within which weights must be applied. */
-    long fractionOfApplyTime(double fraction) {
+    public long fractionOfApplyTime(double fraction) {
         return Math.round(applyMs * fraction);
     }
 
     /** Elapsed fraction of the time until a deadline; 1 from the deadline on. */
-    double elapsedFraction(long now, long deadline) {
+    public double elapsedFraction(long now, long deadline) {
         return now >= deadline ? 1 : 1 - (double) (deadline - now) / applyMs;
     }
 }
--- a/src/test/java/quartzspan/controlplane/HeartbeatHandlerTest.java
+++ b/src/test/java/quartzspan/controlplane/HeartbeatHandlerTest.java
@@ -15,6 +15,7 @@
 import quartzspan.registry.Registry;
 import quartzspan.registry.RegistryEntry;
 import quartzspan.registry.Server;
+import quartzspan.registry.WeightsDeadlines;
 
 /** Which heartbeats a core machine applies, and when it rejects them so that the server calls another machine. */
 class HeartbeatHandlerTest {
--- a/src/test/java/quartzspan/controlplane/RolloutCoordinatorTest.java
+++ b/src/test/java/quartzspan/controlplane/RolloutCoordinatorTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.Test;
 import quartzspan.registry.RegistryEntry;
 import quartzspan.registry.Server;
+import quartzspan.registry.WeightsDeadlines;
 import quartzspan.replication.Epoch;
 
 /** Which machine may send orders to servers, from when on, and under which fencing token. */
--- a/src/test/java/quartzspan/controlplane/RolloutPlannerTest.java
+++ b/src/test/java/quartzspan/controlplane/RolloutPlannerTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.Test;
 import quartzspan.registry.RegistryEntry;
 import quartzspan.registry.Server;
+import quartzspan.registry.WeightsDeadlines;
 
 /** How many servers load a target version at once, and by when all have it. */
 class RolloutPlannerTest {
--- a/src/test/java/quartzspan/controlplane/SimulatedRollout.java
+++ b/src/test/java/quartzspan/controlplane/SimulatedRollout.java
@@ -9,6 +9,7 @@
 import java.util.TreeSet;
 import quartzspan.registry.RegistryEntry;
 import quartzspan.registry.Server;
+import quartzspan.registry.WeightsDeadlines;
 
 /**
  * Simulates, tick by tick, a rollout to servers that load for a given time, with target versions set at given
