Weights: each proxy enforces the deadline where it uses a server

Cause: three places decided by themselves until when a server with older weights may be used: the planner at its tick, 600 ms ahead, the handler of heartbeats at the deadline itself, and each proxy by what it was last told.

Now WeightsDeadlines is one pure function that all processes have. Each computes the deadline on its own steady clock from a time before which the version was certainly not acknowledged: the freshness of its state before the version, or the age that a reply tells, counted from the sending of the query, as with a lease. The latest of these applies, so no deadline lies after the actual one, whatever message is late or lost. A proxy compares when it picks a server, when it sets Expect-Version and right before the bytes are written; Expect-Version is the fence behind it.

Weighed: a wider margin (a later tick opens the same hole); the deadline in the control state (machines share no clock); the announcement alone (a message has to be on time). The core's withdrawals stay, by the same function, for proxies of the version before and to spare attempts.

--- a/src/main/java/quartzspan/controlplane/ControlPlane.java
+++ b/src/main/java/quartzspan/controlplane/ControlPlane.java
@@ -28,7 +28,6 @@
 import quartzspan.registry.HeartbeatTracker;
 import quartzspan.registry.Registry;
 import quartzspan.registry.RegistryEntry;
-import quartzspan.registry.WeightsDeadlines;
 import quartzspan.replication.ControlState;
 import quartzspan.replication.Replica;
 import quartzspan.replication.ReplicaMessage;
@@ -63,7 +62,7 @@
     private final Clock clock = new Clock();
     private final EventLoopGroup group;
     private final EventLoop loop;
-    private final Registry registry = new Registry();
+    private final Registry registry;
     private final HeartbeatTracker heartbeats;
     private final Gossip gossip;
     private final TcpTransport transport;
@@ -76,7 +75,6 @@
     private final String self;
     private final DrainAcknowledger drainAcknowledger;
     private final ServerClient serverClient;
-    private final WeightsDeadlines weightsDeadlines;
     private final RolloutActions rolloutActions;
     private final PrefixCacheIndexer prefixCacheIndexer;
     private final GracefulShutdown shutdown;
@@ -89,6 +87,7 @@
         this.group = group;
         this.loop = loop;
         this.self = hostAndPort(settings.internalAddress());
+        this.registry = new Registry(settings.bounds().versionApplyMs());
         this.connectionLimits = new HttpServer.ConnectionLimits(
                 Math.max(MIN_CLIENT_CONNECTIONS, settings.fileDescriptors() / 2),
                 MAX_HEADER_BYTES,
@@ -107,9 +106,15 @@
         this.gossip = new Gossip(self, true, seeds, registry, transport::send, Gossip.firstNonce(System.nanoTime()));
         this.httpServer = new HttpServer(this, loop);
         this.drainAcknowledger = new DrainAcknowledger(gossip);
-        this.weightsDeadlines = new WeightsDeadlines(settings.bounds().versionApplyMs());
         this.rolloutActions = new RolloutActions(
-                settings, self, this::nowMs, replicaHost, heartbeats, gossip, serverClient, weightsDeadlines);
+                settings,
+                self,
+                this::nowMs,
+                replicaHost,
+                heartbeats,
+                gossip,
+                serverClient,
+                registry.weightsDeadlines());
         this.prefixCacheIndexer = new PrefixCacheIndexer(this::nowMs, self, registry, gossip, transport, serverClient);
         this.shutdown = new GracefulShutdown(new ReplicaHandover(), gracePeriodMs());
         this.router = createRouter();
@@ -118,7 +123,7 @@
     private RequestRouter createRouter() {
         ServerApi serverApi = new ServerApi(
                 this::nowMs,
-                new HeartbeatHandler(registry, heartbeats, gossip, weightsDeadlines, this::freshAtMs),
+                new HeartbeatHandler(registry, heartbeats, gossip, this::freshAtMs),
                 drainAcknowledger,
                 this::requiredDrainAcks);
         OperatorApi operatorApi = new OperatorApi(this::nowMs, replicaHost, registry);
--- a/src/main/java/quartzspan/controlplane/HeartbeatHandler.java
+++ b/src/main/java/quartzspan/controlplane/HeartbeatHandler.java
@@ -10,7 +10,6 @@
 import quartzspan.registry.Registry;
 import quartzspan.registry.RegistryEntry;
 import quartzspan.registry.Server;
-import quartzspan.registry.WeightsDeadlines;
 
 /** Applies the heartbeats and deregistrations of servers to the registry. No clock, no I/O; times are milliseconds of a steady clock. */
 final class HeartbeatHandler {
@@ -24,17 +23,10 @@
     private final Registry registry;
     private final HeartbeatTracker heartbeats;
     private final Gossip gossip;
-    private final WeightsDeadlines deadlines;
     private final LongSupplier freshAtMs;
 
     /** @param freshAtMs time at which the local state was last known to be the latest */
-    HeartbeatHandler(
-            Registry registry,
-            HeartbeatTracker heartbeats,
-            Gossip gossip,
-            WeightsDeadlines deadlines,
-            LongSupplier freshAtMs) {
-        this.deadlines = deadlines;
+    HeartbeatHandler(Registry registry, HeartbeatTracker heartbeats, Gossip gossip, LongSupplier freshAtMs) {
         this.freshAtMs = freshAtMs;
         this.registry = registry;
         this.heartbeats = heartbeats;
@@ -78,8 +70,7 @@
     }
 
     /**
-     * The server that a heartbeat describes. A server with overdue weights is registered as loading, so that it gets no
-     * requests.
+     * The server that a heartbeat describes. A server whose weights may not be used any more is registered as loading.
      */
     private Server parseServer(long now, String id, JsonObject json) {
         String model = "";
@@ -94,7 +85,7 @@
                 json.getString("zone", ""),
                 model,
                 weights,
-                weights == 0 ? 0 : deadlines.latestOverdueVersion(now, model));
+                weights == 0 ? 0 : registry.weightsDeadlines().requiredVersion(now, model));
         Server server =
                 Server.of(new RegistryEntry(RegistryEntry.Subject.SERVER, id, 0, RegistryEntry.State.READY, text));
         if (server == null) {
--- a/src/main/java/quartzspan/controlplane/RolloutActions.java
+++ b/src/main/java/quartzspan/controlplane/RolloutActions.java
@@ -33,7 +33,6 @@
     private final HeartbeatTracker heartbeats;
     private final Gossip gossip;
     private final ServerClient serverClient;
-    private final WeightsDeadlines deadlines;
     private final RolloutCoordinator coordinator;
     /** Target versions that have been logged, by model. */
     private final Map<String, Long> loggedTargets = new HashMap<>();
@@ -49,7 +48,6 @@
             Gossip gossip,
             ServerClient serverClient,
             WeightsDeadlines deadlines) {
-        this.deadlines = deadlines;
         this.self = self;
         this.nodeName = settings.nodeName();
         this.clockMs = clockMs;
@@ -64,7 +62,6 @@
     void onTick(long now, Registry registry) {
         Map<String, Long> targets = registry.state().weights();
         logTargetVersions(targets);
-        deadlines.observe(now, targets);
         coordinator.onTick(now, registry::servers);
     }
 
--- a/src/main/java/quartzspan/controlplane/RolloutPlanner.java
+++ b/src/main/java/quartzspan/controlplane/RolloutPlanner.java
@@ -16,9 +16,6 @@
  * only after the previous primary has certainly stopped. No clock, no I/O; times are milliseconds of a steady clock.
  */
 final class RolloutPlanner {
-    /** A server that has not been ordered is taken out of service this fraction of the apply time before its deadline. */
-    private static final double WITHDRAWAL_FRACTION = 0.1;
-
     /** A server, and the version that it is to load. */
     record Order(Server server, String model, long version) {}
 
@@ -40,7 +37,10 @@
         this.deadlines = deadlines;
     }
 
-    /** Records the target versions while no orders may be sent: their deadlines apply nonetheless. */
+    /**
+     * Records the target versions while no orders may be sent: their deadlines apply nonetheless. The time of a version that
+     * no core machine knows any more, because all have restarted, counts from now.
+     */
     void observe(long now, Map<String, Long> targets) {
         deadlines.observe(now, targets);
     }
@@ -48,6 +48,7 @@
     /** The orders to send now. */
     List<Order> dueOrders(long now, Map<String, Long> targets, List<Server> servers) {
         deadlines.observe(now, targets);
+        deadlines.expire(now);
         loads.retainServers(servers.stream().map(Server::id).toList());
         loads.onWeights(now, servers);
         List<Order> due = new ArrayList<>();
@@ -91,14 +92,14 @@
     }
 
     /**
-     * The servers that must get no more requests until they have the target versions, whether they have been ordered or not.
+     * The servers that get no more requests until they have the target versions, whether they have been ordered or not. Each
+     * proxy enforces this by itself; announcing it spares the proxies the attempts.
      */
     List<Order> dueWithdrawals(long now, Map<String, Long> targets, List<Server> servers) {
-        long withdrawalHorizon = now + deadlines.fractionOfApplyTime(WITHDRAWAL_FRACTION);
         List<Order> withdrawals = new ArrayList<>();
         targets.forEach((model, version) -> loadableServers(model, servers).stream()
-                .filter(server -> server.loadingVersion() == 0
-                        && deadlines.deadlineOf(model, server.weightsVersion()) <= withdrawalHorizon)
+                .filter(server ->
+                        server.loadingVersion() == 0 && now >= deadlines.usableUntilMs(model, server.weightsVersion()))
                 .forEach(server -> withdrawals.add(new Order(server, model, version))));
         return withdrawals;
     }
--- a/src/main/java/quartzspan/frontend/EndpointDirectory.java
+++ b/src/main/java/quartzspan/frontend/EndpointDirectory.java
@@ -15,6 +15,7 @@
 import quartzspan.registry.Registry;
 import quartzspan.registry.RegistryEntry;
 import quartzspan.registry.Server;
+import quartzspan.registry.WeightsDeadlines;
 
 /**
  * The model servers known to this proxy: their pooled connections, addresses and weights versions, kept up to date with the
@@ -23,6 +24,7 @@
 final class EndpointDirectory implements ServerConnections {
     private static final int DEFAULT_MAX_CONNECTIONS = 64;
     private static final int MIN_CONNECTIONS = 2;
+    private static final long US_PER_MS = 1_000;
 
     private final Registry registry;
     private final ConnectionPool connectionPool;
@@ -36,6 +38,8 @@
     private final Map<String, Long> weightsVersions = new HashMap<>();
     /** The configured services that the connection limits were last computed from. */
     private Map<String, Service> configuredServices = Map.of();
+    /** The change count of the weights' deadlines that the placement knows. */
+    private long appliedDeadlines;
 
     EndpointDirectory(
             Registry registry, ConnectionPool connectionPool, PrefixCacheIndex prefixCacheIndex, LongSupplier clockUs) {
@@ -67,12 +71,26 @@
     }
 
     /**
-     * The weights version that a server must have to execute a request; 0 if unknown. A server that was ordered to load a newer
-     * version must not execute the request on its current one, which may already be outdated.
+     * The weights version that a server must have to execute a request now; 0 if unknown. A server that was ordered to load a
+     * newer version, or whose weights may not be used any more, must not execute the request on its current ones.
      */
     long expectedWeightsVersion(String server) {
         long current = weightsVersion(server);
-        return current == 0 ? 0 : Math.max(current, servers.get(server).loadingVersion());
+        Server listed = servers.get(server);
+        if (current == 0 || listed == null) {
+            return 0;
+        }
+        return Math.max(current, Math.max(listed.loadingVersion(), requiredVersion(listed)));
+    }
+
+    private long requiredVersion(Server server) {
+        return registry.weightsDeadlines().requiredVersion(clockUs.getAsLong() / US_PER_MS, server.model());
+    }
+
+    /** Whether weights of this version, or of an unknown one (0), may still be used for a request that is sent now. */
+    boolean mayUseWeights(String server, long weightsVersion) {
+        Server listed = servers.get(server);
+        return listed == null || weightsVersion == 0 || weightsVersion >= requiredVersion(listed);
     }
 
     /**
@@ -84,12 +102,13 @@
     boolean onVersionMismatch(String server) {
         long current = weightsVersion(server);
         Server listed = servers.get(server);
-        if (listed == null || listed.loadingVersion() > current) {
+        if (listed == null || expectedWeightsVersion(server) > current) {
             return false;
         }
         if (current > 0) {
             weightsVersions.put(
                     server, Math.max(current, registry.state().weights().getOrDefault(listed.model(), 0L)));
+            updateUsableTime(listed);
         }
         return true;
     }
@@ -111,9 +130,13 @@
         return registry.state().configuration();
     }
 
-    /** Applies an update of the registry. */
+    /** Applies an update of the registry; to be called after each message, for the deadlines may have changed without one. */
     void onRegistryUpdate(Registry.Update update) {
         update.entries().forEach(this::onEntry);
+        if (appliedDeadlines != registry.weightsDeadlines().changeCount()) {
+            appliedDeadlines = registry.weightsDeadlines().changeCount();
+            servers.values().forEach(this::updateUsableTime);
+        }
         if (update.stateAdvanced() && !configuration().services().equals(configuredServices)) {
             // Connection limits are part of the services' configuration.
             configuredServices = configuration().services();
@@ -121,6 +144,16 @@
         }
     }
 
+    /** Tells the placement until when the server's weights may be used. */
+    private void updateUsableTime(Server server) {
+        long weights = weightsVersion(server.id());
+        long untilMs = weights == 0
+                ? WeightsDeadlines.NO_DEADLINE
+                : registry.weightsDeadlines().usableUntilMs(server.model(), weights);
+        placement.onUsableUntil(
+                server.id(), untilMs == WeightsDeadlines.NO_DEADLINE ? Long.MAX_VALUE : untilMs * US_PER_MS);
+    }
+
     private void onEntry(RegistryEntry entry) {
         Server server = Server.of(entry);
         if (server != null) {
@@ -161,6 +194,7 @@
         endpoint.update(socketAddress(server.address()), ready, maxConnections(server));
         placement.onListed(clockUs.getAsLong(), server.id(), server.service(), ready, server.loadingVersion() > 0);
         weightsVersions.put(server.id(), server.weightsVersion());
+        updateUsableTime(server);
     }
 
     private static InetSocketAddress socketAddress(String address) {
--- a/src/main/java/quartzspan/frontend/FrontendProxy.java
+++ b/src/main/java/quartzspan/frontend/FrontendProxy.java
@@ -73,7 +73,7 @@
     private final Clock clock = new Clock();
     private final EventLoopGroup group;
     private final EventLoop loop;
-    private final Registry registry = new Registry();
+    private final Registry registry;
     private final Gossip gossip;
     private final TcpTransport transport;
     private final HttpServer httpServer;
@@ -96,6 +96,7 @@
         this.settings = settings;
         this.group = group;
         this.loop = loop;
+        this.registry = new Registry(settings.bounds().versionApplyMs());
         this.shutdown = new ShutdownSchedule(gracePeriodMs(settings), nowMs());
         String internalAddress = hostAndPort(settings.internalAddress());
         int maxServerConnections = Math.max(MIN_CONNECTIONS, (settings.fileDescriptors() - RESERVED_DESCRIPTORS) / 3);
--- a/src/main/java/quartzspan/frontend/PrefixCacheRouting.java
+++ b/src/main/java/quartzspan/frontend/PrefixCacheRouting.java
@@ -35,10 +35,10 @@
     /**
      * Sets the cache headers of a request to a server.
      *
+     * @param version the weights version that the server must have; 0 if unknown
      * @return the hashes of the prompt's blocks at that server; empty if its weights version is unknown
      */
-    long[] setHeaders(HttpHeaders headers, String server, PlacementRequest request, Prompt prompt) {
-        long version = endpoints.expectedWeightsVersion(server);
+    long[] setHeaders(HttpHeaders headers, String server, long version, PlacementRequest request, Prompt prompt) {
         if (version == 0) {
             if (!prompt.isolationKey().isEmpty()) {
                 headers.set(CACHE_SALT, prompt.isolationKey());
--- a/src/main/java/quartzspan/frontend/ProxiedRequest.java
+++ b/src/main/java/quartzspan/frontend/ProxiedRequest.java
@@ -106,14 +106,15 @@
         server = target;
         responseHead = null;
         HttpHeaders headers = new DefaultHttpHeaders().set(request.headers()).set("X-Expected-Instance", target);
-        blocks = proxy.prefixCacheRouting().setHeaders(headers, target, placementRequest, prompt);
+        long expectedWeights = proxy.endpoints().expectedWeightsVersion(target);
+        blocks = proxy.prefixCacheRouting().setHeaders(headers, target, expectedWeights, placementRequest, prompt);
         proxy.endpoints().placement().onSent(target, placementRequest);
         attempt = proxy.connectionPool()
                 .attempt(
                         endpoint,
                         new OutgoingRequest(request.method(), request.uri(), headers, request.body()),
                         remainingUs,
-                        () -> !ended,
+                        () -> !ended && proxy.endpoints().mayUseWeights(target, expectedWeights),
                         this,
                         this::onAttemptEnded);
         attempt.start(connectionReuse(target));
--- a/src/main/java/quartzspan/loadbalancing/PlacementServer.java
+++ b/src/main/java/quartzspan/loadbalancing/PlacementServer.java
@@ -19,6 +19,7 @@
     private final long listedSinceUs;
     private boolean ready;
     private boolean loading;
+    private long usableUntilUs = Long.MAX_VALUE;
     private int failures;
     private long ejectedUntilUs;
     private long nextEjectionUs = MIN_EJECTION_US;
@@ -51,13 +52,17 @@
         loading = isLoading;
     }
 
+    void onUsableUntil(long us) {
+        usableUntilUs = us;
+    }
+
     boolean isReady() {
         return ready;
     }
 
     /** Whether it gets requests only if no other server can take them. */
     boolean isLastResort(long now) {
-        return loading || isEjected(now);
+        return loading || now >= usableUntilUs || isEjected(now);
     }
 
     boolean isEjected(long now) {
--- a/src/main/java/quartzspan/loadbalancing/PrefixAwarePlacement.java
+++ b/src/main/java/quartzspan/loadbalancing/PrefixAwarePlacement.java
@@ -62,6 +62,14 @@
         server.onListed(ready, loading);
     }
 
+    /** From this time on a server gets requests only if no other server can take them. */
+    public void onUsableUntil(String id, long us) {
+        PlacementServer server = servers.get(id);
+        if (server != null) {
+            server.onUsableUntil(us);
+        }
+    }
+
     /** Removes a server. */
     public void onGone(String id) {
         PlacementServer server = servers.remove(id);
--- a/src/main/java/quartzspan/registry/Gossip.java
+++ b/src/main/java/quartzspan/registry/Gossip.java
@@ -32,7 +32,6 @@
     /** Updates within this time after the last broadcast are batched until the next update or tick. */
     private static final long BATCH_WINDOW_MS = 40;
 
-    private static final long NEVER = Long.MIN_VALUE / 4;
     private static final Registry.Update NO_UPDATE = new Registry.Update(List.of(), false);
 
     /** Sends messages to other processes. */
@@ -263,7 +262,7 @@
                             ? failureCounts.getOrDefault(from, 0) + 1
                             : 0);
         }
-        Registry.Update update = registry.merge(now, message, query == null ? NEVER : query.sentAtMs());
+        Registry.Update update = registry.merge(now, message, query == null ? Registry.NEVER : query.sentAtMs());
         if (query != null && message.digests().length == Registry.BUCKETS) {
             if (query.full()) {
                 sendMissing(from, message.digests());
@@ -276,7 +275,7 @@
     }
 
     private Registry.Update onUpdate(long now, String from, GossipMessage message) {
-        Registry.Update update = registry.merge(now, message, NEVER);
+        Registry.Update update = registry.merge(now, message, Registry.NEVER);
         if (message.nonce() != 0 && !acknowledgementsStopped) {
             sender.send(from, GossipMessage.acknowledgement(message.nonce()));
         }
--- a/src/main/java/quartzspan/registry/Registry.java
+++ b/src/main/java/quartzspan/registry/Registry.java
@@ -21,6 +21,11 @@
     static final int BUCKETS = 32;
 
     private static final int MAX_FRESHNESS_CLAIMS = 16;
+    /** A time before all others. */
+    static final long NEVER = Long.MIN_VALUE / 4;
+
+    /** Apply time of weights where the settings bound none: ten years. */
+    private static final long UNBOUNDED_MS = 10L * 365 * 24 * 3600 * 1000;
     /** Retention of entries that are {@code GONE} or {@code LOST}, so that a delayed update does not restore them. */
     private static final long TOMBSTONE_TTL_MS = 120_000;
 
@@ -36,9 +41,10 @@
     /** XOR of the digests of all entries. */
     private long digest;
 
-    private final StateFollower stateFollower = new StateFollower();
+    private final StateFollower stateFollower = new StateFollower(this::onStateAdvanced);
+    private final WeightsDeadlines weightsDeadlines;
     /** The latest time at which the local state is known to have been the newest. */
-    private long freshAtMs = Long.MIN_VALUE / 2;
+    private long freshAtMs = NEVER;
     /** Claims about states that have not been received yet. */
     private final ArrayDeque<FreshnessClaim> freshnessClaims = new ArrayDeque<>();
 
@@ -68,8 +74,18 @@
         }
     }
 
-    /** An empty registry. */
+    /** An empty registry in which no weights are overdue. */
     public Registry() {
+        this(UNBOUNDED_MS);
+    }
+
+    /**
+     * An empty registry.
+     *
+     * @param versionApplyMs time after the acknowledgement of a target version of weights within which all servers must have it
+     */
+    public Registry(long versionApplyMs) {
+        this.weightsDeadlines = new WeightsDeadlines(versionApplyMs);
         for (RegistryEntry.Subject subject : RegistryEntry.Subject.values()) {
             entriesBySubject.put(subject, new SubjectEntries());
         }
@@ -156,6 +172,7 @@
 
     /** Removes entries that have been {@code GONE} or {@code LOST} for {@link #TOMBSTONE_TTL_MS}. */
     public void expire(long now) {
+        weightsDeadlines.expire(now);
         endedAtMs.entrySet().removeIf(e -> {
             if (now - e.getValue() < TOMBSTONE_TTL_MS) {
                 return false;
@@ -170,6 +187,19 @@
         });
     }
 
+    /** Until when the servers' weights may be used. */
+    public WeightsDeadlines weightsDeadlines() {
+        return weightsDeadlines;
+    }
+
+    /** A target version that is new was acknowledged after the previous state was known to be the newest. */
+    private void onStateAdvanced(long previousIndex) {
+        applyFreshnessClaims(previousIndex);
+        if (freshAtMs > NEVER) {
+            weightsDeadlines.observe(freshAtMs, state().weights());
+        }
+    }
+
     /** Publishes a committed state of the local replica; returns whether it is newer than the previous one. */
     public boolean publish(long index, ControlState committed) {
         return stateFollower.publish(index, committed);
@@ -192,13 +222,17 @@
 
     /** The latest time at which the local state is known to have been the newest. */
     public long freshAtMs() {
+        applyFreshnessClaims(stateFollower.index());
+        return freshAtMs;
+    }
+
+    private void applyFreshnessClaims(long stateIndex) {
         for (FreshnessClaim claim : freshnessClaims) {
-            if (claim.stateIndex() <= stateFollower.index()) {
+            if (claim.stateIndex() <= stateIndex) {
                 confirmFresh(claim.atMs());
             }
         }
-        freshnessClaims.removeIf(claim -> claim.stateIndex() <= stateFollower.index());
-        return freshAtMs;
+        freshnessClaims.removeIf(claim -> claim.stateIndex() <= stateIndex);
     }
 
     public void confirmFresh(long atMs) {
@@ -221,7 +255,8 @@
                 digests,
                 List.of(),
                 List.of(),
-                SnapshotChunk.NONE);
+                SnapshotChunk.NONE,
+                List.of());
     }
 
     /**
@@ -238,7 +273,8 @@
                 same ? GossipMessage.NO_DIGESTS : bucketDigests.clone(),
                 entriesInDifferingBuckets(query.digests()),
                 List.of(),
-                SnapshotChunk.NONE);
+                SnapshotChunk.NONE,
+                weightsDeadlines.ages(now));
     }
 
     /** The local entries in the buckets whose digests differ. */
@@ -268,6 +304,11 @@
                 newer.add(entry);
             }
         }
+        if (queriedAtMs > NEVER) {
+            message.targetAges()
+                    .forEach(age ->
+                            weightsDeadlines.onAgeReported(queriedAtMs - age.ageMs(), age.model(), age.version()));
+        }
         // The sender's state was the newest ageMs before its reply, and the reply was sent after the query.
         if (message.kind() == GossipMessage.Kind.REPLY && message.ageMs() >= 0) {
             freshnessClaims.add(new FreshnessClaim(message.stateIndex(), queriedAtMs - message.ageMs()));
--- a/src/main/java/quartzspan/registry/StateFollower.java
+++ b/src/main/java/quartzspan/registry/StateFollower.java
@@ -12,12 +12,24 @@
     /** A larger delta costs more to send than a compressed snapshot. */
     private static final int MAX_DELTA_BYTES = 64 * 1024;
 
+    /** Is told of each advance of the state, right after it. */
+    interface Listener {
+        /** The state has advanced from this index; -1 if there was none. */
+        void onAdvanced(long previousIndex);
+    }
+
+    private final Listener listener;
+
     private long index = -1;
     private PublishedState state = PublishedState.EMPTY;
     private final DeltaHistory history = new DeltaHistory();
     /** The snapshot served or installed last. It is kept after later changes, so that processes that fetch it need not start over. */
     private Snapshot snapshot;
 
+    StateFollower(Listener listener) {
+        this.listener = listener;
+    }
+
     long index() {
         return index;
     }
@@ -38,8 +50,7 @@
         } else {
             history.append(new StateDelta(index, committedIndex, change));
         }
-        index = committedIndex;
-        state = next;
+        advance(committedIndex, next);
         return true;
     }
 
@@ -50,13 +61,14 @@
             if (delta.fromIndex() != index || delta.toIndex() <= index) {
                 continue;
             }
+            PublishedState next;
             try {
-                state = state.withDelta(delta.change());
+                next = state.withDelta(delta.change());
             } catch (FleetException e) {
                 // The delta doesn't apply: the local state is kept, and a snapshot is requested.
                 return advanced;
             }
-            index = delta.toIndex();
+            advance(delta.toIndex(), next);
             history.append(delta);
             advanced = true;
         }
@@ -68,13 +80,20 @@
         if (newer.index() <= index) {
             return false;
         }
-        state = newer.state();
-        index = newer.index();
+        PublishedState next = newer.state();
         history.clear();
         snapshot = newer;
+        advance(newer.index(), next);
         return true;
     }
 
+    private void advance(long nextIndex, PublishedState next) {
+        long previousIndex = index;
+        index = nextIndex;
+        state = next;
+        listener.onAdvanced(previousIndex);
+    }
+
     /** The deltas from another process's state to the local one; empty if they are not available. */
     List<StateDelta> deltasSince(long fromIndex) {
         return history.deltasSince(fromIndex);
--- a/src/main/java/quartzspan/transport/GossipCodec.java
+++ b/src/main/java/quartzspan/transport/GossipCodec.java
@@ -17,6 +17,11 @@
 
     private GossipCodec() {}
 
+    /** The schema version by which a message is encoded: one without ages of target versions is as in version 1. */
+    static int schemaVersion(GossipMessage message) {
+        return message.targetAges().isEmpty() ? MessageCodec.BASE_SCHEMA_VERSION : GossipFrameEncoder.SCHEMA_VERSION;
+    }
+
     /** Encodes a message after its header; returns the end position. */
     static int encode(GossipMessage message, GossipFrameEncoder encoder) {
         SnapshotChunk chunk = message.chunk();
@@ -50,6 +55,10 @@
                     .putChange(delta.change(), 0, delta.change().length);
         }
         encoder.putSnapshotBytes(chunk.bytes(), 0, chunk.bytes().length);
+        if (!message.targetAges().isEmpty()) {
+            byte[] targetAges = TargetAgesCodec.encode(message.targetAges());
+            encoder.putTargetAges(targetAges, 0, targetAges.length);
+        }
         return encoder.limit();
     }
 
@@ -71,6 +80,9 @@
         byte[] bytes =
                 new byte[MessageCodec.checkedLength(decoder.snapshotBytesLength(), MessageCodec.MAX_FRAME_BYTES)];
         decoder.getSnapshotBytes(bytes, 0, bytes.length);
+        byte[] targetAges =
+                new byte[MessageCodec.checkedLength(decoder.targetAgesLength(), MessageCodec.MAX_FRAME_BYTES)];
+        decoder.getTargetAges(targetAges, 0, targetAges.length);
         return new GossipMessage(
                 GossipMessage.Kind.values()[kind],
                 nonce,
@@ -79,7 +91,8 @@
                 buckets,
                 entries,
                 deltas,
-                new SnapshotChunk(snapshotIndex, offset, total, bytes));
+                new SnapshotChunk(snapshotIndex, offset, total, bytes),
+                TargetAgesCodec.decode(targetAges));
     }
 
     private static long[] buckets(GossipFrameDecoder.BucketsDecoder decoder) {
--- a/src/main/java/quartzspan/transport/MessageCodec.java
+++ b/src/main/java/quartzspan/transport/MessageCodec.java
@@ -33,6 +33,12 @@
     /** Maximum size of a frame; the largest frames contain a complete configuration. */
     public static final int MAX_FRAME_BYTES = 16 * 1024 * 1024;
 
+    /**
+     * The schema version in the header of messages without fields of a later version: processes of all versions exchange the
+     * same bytes for them.
+     */
+    static final int BASE_SCHEMA_VERSION = 1;
+
     private static final int FLAG_GRANTED = 1;
     private static final int FLAG_RECOVERING = 2;
 
@@ -57,6 +63,7 @@
     public static byte[] encode(Object message) {
         MutableDirectBuffer buffer = new ExpandableArrayBuffer(512);
         MessageHeaderEncoder header = new MessageHeaderEncoder();
+        int schemaVersion = BASE_SCHEMA_VERSION;
         int length;
         if (message instanceof Hello hello) {
             HelloMessageEncoder encoder = new HelloMessageEncoder().wrapAndApplyHeader(buffer, 0, header);
@@ -69,6 +76,7 @@
         } else if (message instanceof ReplicaMessage replicaMessage) {
             length = encode(replicaMessage, new ReplicaFrameEncoder().wrapAndApplyHeader(buffer, 0, header));
         } else if (message instanceof GossipMessage gossipMessage) {
+            schemaVersion = GossipCodec.schemaVersion(gossipMessage);
             length = GossipCodec.encode(gossipMessage, new GossipFrameEncoder().wrapAndApplyHeader(buffer, 0, header));
         } else if (message instanceof PrefixCacheUpdate update) {
             PrefixCacheFrameEncoder encoder = new PrefixCacheFrameEncoder().wrapAndApplyHeader(buffer, 0, header);
@@ -83,6 +91,7 @@
         } else {
             throw new IllegalArgumentException("not a message type: " + message.getClass());
         }
+        header.version(schemaVersion);
         byte[] bytes = new byte[length];
         buffer.getBytes(0, bytes);
         return bytes;
--- a/src/test/java/quartzspan/controlplane/HeartbeatHandlerTest.java
+++ b/src/test/java/quartzspan/controlplane/HeartbeatHandlerTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -15,19 +16,16 @@
 import quartzspan.registry.Registry;
 import quartzspan.registry.RegistryEntry;
 import quartzspan.registry.Server;
-import quartzspan.registry.WeightsDeadlines;
 
 /** Which heartbeats a core machine applies, and when it rejects them so that the server calls another machine. */
 class HeartbeatHandlerTest {
     private static final long APPLY_MS = 10_000;
 
-    private final Registry registry = new Registry();
-    private final WeightsDeadlines deadlines = new WeightsDeadlines(APPLY_MS);
+    private final Registry registry = new Registry(APPLY_MS);
     private final HeartbeatHandler handler = new HeartbeatHandler(
             registry,
             new HeartbeatTracker(registry, 1_200),
             new Gossip("c1:1", true, List.of("c1:1", "c2:1"), registry, (to, message) -> {}),
-            deadlines,
             registry::freshAtMs);
 
     private static byte[] body(long count, String state) {
@@ -78,14 +76,16 @@
 
     @Test
     void serverThatReturnsWithOverdueWeightsIsRegisteredAsLoadingOnItsFirstHeartbeat() {
-        deadlines.observe(0, Map.of("m", 2L));
+        registry.weightsDeadlines().observe(0, Map.of("m", 2L));
         registry.confirmFresh(2 * APPLY_MS);
-        handler.onHeartbeat(APPLY_MS - 1, "i", body(1, "ready"));
-        assertEquals(0, registered("i").loadingVersion(), "not overdue yet");
-        handler.onHeartbeat(APPLY_MS, "j", body(1, "ready"));
+        long usableUntilMs = registry.weightsDeadlines().usableUntilMs("m", 1);
+        assertTrue(usableUntilMs < APPLY_MS);
+        handler.onHeartbeat(usableUntilMs - 1, "i", body(1, "ready"));
+        assertEquals(0, registered("i").loadingVersion(), "may still be used");
+        handler.onHeartbeat(usableUntilMs, "j", body(1, "ready"));
         assertEquals(2, registered("j").loadingVersion());
-        handler.onHeartbeat(APPLY_MS, "i", body(2, "ready"));
-        assertEquals(2, registered("i").loadingVersion(), "overdue");
+        handler.onHeartbeat(usableUntilMs, "i", body(2, "ready"));
+        assertEquals(2, registered("i").loadingVersion(), "may not be used any more");
     }
 
     private Server registered(String id) {
--- a/src/test/java/quartzspan/registry/AcknowledgementTrackerTest.java
+++ b/src/test/java/quartzspan/registry/AcknowledgementTrackerTest.java
@@ -32,7 +32,8 @@
                         GossipMessage.NO_DIGESTS,
                         List.of(),
                         List.of(),
-                        SnapshotChunk.NONE));
+                        SnapshotChunk.NONE,
+                        List.of()));
     }
 
     private long broadcast(int required) {
@@ -152,7 +153,8 @@
                             GossipMessage.NO_DIGESTS,
                             List.of(),
                             List.of(),
-                            SnapshotChunk.NONE));
+                            SnapshotChunk.NONE,
+                            List.of()));
         }
         assertTrue(registry.freshAtMs() < -1_000_000);
     }
--- a/src/test/java/quartzspan/registry/StateGossipTest.java
+++ b/src/test/java/quartzspan/registry/StateGossipTest.java
@@ -236,7 +236,7 @@
         ControlState first = initialState();
         ControlState second = withChange(first, 4);
         ControlState third = withChange(second, 5);
-        StateFollower publisher = new StateFollower();
+        StateFollower publisher = new StateFollower(previousIndex -> {});
         publisher.publish(3, first);
         publisher.publish(4, second);
         publisher.publish(6, third);
@@ -244,9 +244,9 @@
         assertEquals(2, deltas.size());
         assertTrue(publisher.deltasSince(5).isEmpty(), "there is no state with index 5");
 
-        StateFollower empty = new StateFollower();
+        StateFollower empty = new StateFollower(previousIndex -> {});
         assertFalse(empty.apply(deltas), "there is no state to which the deltas apply");
-        StateFollower gap = new StateFollower();
+        StateFollower gap = new StateFollower(previousIndex -> {});
         gap.publish(3, first);
         assertFalse(gap.apply(deltas.subList(1, 2)), "a delta is missing");
         assertEquals(3, gap.index());
@@ -257,7 +257,7 @@
         assertEquals(document(PublishedState.of(third)), document(gap.state()));
         assertEquals(deltas.size(), gap.deltasSince(3).size(), "received deltas are passed on");
 
-        StateFollower damaged = new StateFollower();
+        StateFollower damaged = new StateFollower(previousIndex -> {});
         damaged.publish(3, first);
         assertFalse(damaged.apply(List.of(new StateDelta(3, 4, new byte[] {1, 2, 3}))));
         assertEquals(3, damaged.index(), "a malformed delta does not change the state");
--- a/src/test/java/quartzspan/transport/MessageCodecTest.java
+++ b/src/test/java/quartzspan/transport/MessageCodecTest.java
@@ -15,6 +15,7 @@
 import quartzspan.registry.RegistryEntry;
 import quartzspan.registry.SnapshotChunk;
 import quartzspan.registry.StateDelta;
+import quartzspan.registry.TargetAge;
 import quartzspan.replication.Epoch;
 import quartzspan.replication.Membership;
 import quartzspan.replication.ReplicaMessage;
@@ -52,7 +53,8 @@
                     new RegistryEntry(RegistryEntry.Subject.SERVER, "i-1", 17, RegistryEntry.State.DRAINING, "s\tx"),
                     new RegistryEntry(RegistryEntry.Subject.PROXY, "", 0, RegistryEntry.State.READY, "")),
             List.of(new StateDelta(4, 7, new byte[] {5, 6}), new StateDelta(7, 9, new byte[0])),
-            new SnapshotChunk(8, 65_536, 200_000, new byte[70_000]));
+            new SnapshotChunk(8, 65_536, 200_000, new byte[70_000]),
+            List.of(new TargetAge("m\t1", 2, 4_000), new TargetAge("", 3, -1)));
     private static final PrefixCacheUpdate PREFIX_CACHE_UPDATE =
             new PrefixCacheUpdate(PrefixCacheUpdate.Kind.DELTA, "i-9", 4, 5, new long[] {8, 9}, new int[] {100, 0});
 
--- a/src/test/java/quartzspan/transport/MessageCompatibilityTest.java
+++ b/src/test/java/quartzspan/transport/MessageCompatibilityTest.java
@@ -1,8 +1,10 @@
 package quartzspan.transport;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HexFormat;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -15,6 +17,7 @@
 import quartzspan.registry.RegistryEntry;
 import quartzspan.registry.SnapshotChunk;
 import quartzspan.registry.StateDelta;
+import quartzspan.registry.TargetAge;
 import quartzspan.replication.Epoch;
 import quartzspan.replication.Membership;
 import quartzspan.replication.ReplicaMessage;
@@ -48,7 +51,7 @@
                 new byte[] {1, 2, (byte) number});
     }
 
-    private static GossipMessage gossipMessage(GossipMessage.Kind kind) {
+    private static GossipMessage gossipMessage(GossipMessage.Kind kind, List<TargetAge> targetAges) {
         List<RegistryEntry> entries = new ArrayList<>();
         for (RegistryEntry.Subject subject : RegistryEntry.Subject.values()) {
             for (RegistryEntry.State state : RegistryEntry.State.values()) {
@@ -63,7 +66,8 @@
                 new long[] {1, -5},
                 entries,
                 List.of(new StateDelta(4, 7, new byte[] {5, 6}), new StateDelta(7, 9, new byte[0])),
-                new SnapshotChunk(8, 2, 20, new byte[] {1, 2, 3}));
+                new SnapshotChunk(8, 2, 20, new byte[] {1, 2, 3}),
+                targetAges);
     }
 
     private static Map<String, Object> messages() {
@@ -74,13 +78,17 @@
             all.put("replica " + kind.ordinal(), replicaMessage(kind));
         }
         for (GossipMessage.Kind kind : GossipMessage.Kind.values()) {
-            all.put("gossip " + kind.ordinal(), gossipMessage(kind));
+            all.put("gossip " + kind.ordinal(), gossipMessage(kind, List.of()));
         }
         for (PrefixCacheUpdate.Kind kind : PrefixCacheUpdate.Kind.values()) {
             all.put(
                     "prompt index " + kind.ordinal(),
                     new PrefixCacheUpdate(kind, "i-9", 4, 5, new long[] {8, -9}, new int[] {100, 0}));
         }
+        all.put(
+                "gossip 1 with ages",
+                gossipMessage(
+                        GossipMessage.Kind.REPLY, List.of(new TargetAge("m", 2, 4_000), new TargetAge("n", 7, 0))));
         return all;
     }
 
@@ -101,4 +109,16 @@
             assertArrayEquals(golden, MessageCodec.encode(MessageCodec.decode(golden)), line);
         }
     }
+
+    /** Processes of version 1 read the fields that they know and ignore the bytes behind them. */
+    @Test
+    void agesOfTargetVersionsFollowTheBytesOfTheMessageWithoutThem() {
+        byte[] without = MessageCodec.encode(messages().get("gossip 1"));
+        byte[] with = MessageCodec.encode(messages().get("gossip 1 with ages"));
+        int versionOffset = 6;
+        assertEquals(1, without[versionOffset]);
+        assertEquals(2, with[versionOffset]);
+        with[versionOffset] = 1;
+        assertArrayEquals(without, Arrays.copyOf(with, without.length));
+    }
 }
--- a/src/test/java/quartzspan/transport/TransportContractTest.java
+++ b/src/test/java/quartzspan/transport/TransportContractTest.java
@@ -115,7 +115,15 @@
         fromB.send(
                 a.address(),
                 new GossipMessage(
-                        GossipMessage.Kind.QUERY, 1, -1, 0, new long[32], List.of(), List.of(), SnapshotChunk.NONE));
+                        GossipMessage.Kind.QUERY,
+                        1,
+                        -1,
+                        0,
+                        new long[32],
+                        List.of(),
+                        List.of(),
+                        SnapshotChunk.NONE,
+                        List.of()));
         fromA.send("127.0.0.1:1", message(1, 1));
         List<Long> nonces = new ArrayList<>();
         List<Long> expected = new ArrayList<>();
