Proxy: after a stall of its own it relies on nothing until a core machine confirms its view

Cause: draining, gone servers and the configuration reach a proxy by messages. A proxy whose event loop stood still for seconds may handle a client's request before the message that arrived meanwhile; the bound (drain_timeout_ms, config_apply_ms) then rests on the order of sockets.

StallGuard notices a stall at the moment of use, without any tick; until a core machine has answered a query sent after it, and the state that the answer names is here, requests get 503 with Retry-After.

--- a/src/main/java/quartzspan/frontend/FrontendProxy.java
+++ b/src/main/java/quartzspan/frontend/FrontendProxy.java
@@ -253,6 +253,11 @@
         inFlight.remove(request);
     }
 
+    /** Whether a request may be written to a server now, by what is known of the fleet, if the server is to have a weights version. */
+    boolean maySend(String server, long weightsVersion) {
+        return !gossip.mayBeOutdated(nowMs()) && endpoints.mayUseWeights(server, weightsVersion);
+    }
+
     /** Time in microseconds after which a client should retry a rejected request. */
     long retryAfterUs(Route route) {
         double jitter = RETRY_AFTER_MIN_JITTER + RETRY_AFTER_JITTER_RANGE * random.nextDouble();
@@ -325,7 +330,7 @@
 
     @Override
     public void onRequest(HttpServer.ClientConnection client, HttpRequest request, byte[] body, long receivedAtUs) {
-        if (!isConfigurationFresh()) {
+        if (!isConfigurationFresh() || gossip.mayBeOutdated(nowMs())) {
             reject(client, NOT_READY_RETRY_AFTER_US);
             return;
         }
--- a/src/main/java/quartzspan/frontend/ProxiedRequest.java
+++ b/src/main/java/quartzspan/frontend/ProxiedRequest.java
@@ -114,7 +114,7 @@
                         endpoint,
                         new OutgoingRequest(request.method(), request.uri(), headers, request.body()),
                         remainingUs,
-                        () -> !ended && proxy.endpoints().mayUseWeights(target, expectedWeights),
+                        () -> !ended && proxy.maySend(target, expectedWeights),
                         this,
                         this::onAttemptEnded);
         attempt.start(connectionReuse(target));
--- a/src/main/java/quartzspan/registry/Gossip.java
+++ b/src/main/java/quartzspan/registry/Gossip.java
@@ -59,6 +59,7 @@
     private long lastBroadcastIndex = -1;
 
     private final StateFetch stateFetch;
+    private final StallGuard stallGuard = new StallGuard();
     private long lastBroadcastAtMs = Long.MIN_VALUE / 2;
     /**
      * Failures by process: requests that timed out, and replies with a stale state. Reset by a reply with a fresh state, and
@@ -173,6 +174,7 @@
      * @param primary on a core machine the address of the primary, if it is known and another machine; otherwise null
      */
     public void onTick(long now, String primary) {
+        stallGuard.onTick(now);
         broadcastIfDue(now);
         String unresponsive = stateFetch.onTick(now);
         if (unresponsive != null) {
@@ -263,6 +265,9 @@
                             : 0);
         }
         Registry.Update update = registry.merge(now, message, query == null ? Registry.NEVER : query.sentAtMs());
+        if (query != null && confirmsView(query, from, message)) {
+            stallGuard.onConfirmed(query.sentAtMs());
+        }
         if (query != null && message.digests().length == Registry.BUCKETS) {
             if (query.full()) {
                 sendMissing(from, message.digests());
@@ -274,6 +279,20 @@
         return update;
     }
 
+    /** Whether the sender, a core machine, has no entry and no state that this process lacks after the merge. */
+    private boolean confirmsView(Query query, String from, GossipMessage reply) {
+        boolean entriesComplete = query.full() || reply.digests().length == 0;
+        return entriesComplete && registry.stateIndex() >= reply.stateIndex() && cores().contains(from);
+    }
+
+    /**
+     * Whether this process was stalled and has not yet learnt from a core machine what it missed meanwhile. To be asked before
+     * the registry or the published state is used for a decision that others rely on.
+     */
+    public boolean mayBeOutdated(long now) {
+        return stallGuard.mayBeOutdated(now);
+    }
+
     private Registry.Update onUpdate(long now, String from, GossipMessage message) {
         Registry.Update update = registry.merge(now, message, Registry.NEVER);
         if (message.nonce() != 0 && !acknowledgementsStopped) {
