Core: a server's list of cached blocks may be up to 4 MiB; unused members removed

kv-list answers over 64 KiB counted as failed. Test: ServerClientTest.longListOfCachedBlocksIsReadWhole.

--- a/src/main/java/quartzspan/controlplane/ServerClient.java
+++ b/src/main/java/quartzspan/controlplane/ServerClient.java
@@ -25,6 +25,9 @@
     private static final Logger LOG = LoggerFactory.getLogger(ServerClient.class);
     private static final long CALL_TIMEOUT_MS = 2_000;
     private static final int CONNECTIONS_PER_SERVER = 4;
+    /** A list of all blocks that a server has cached is the largest response. */
+    private static final int MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
+
     /** Status of a request that ended without a response: it may have been executed. */
     static final int NO_RESPONSE = 0;
     /** Status of a request that was certainly not executed. */
@@ -137,6 +140,11 @@
             return status >= 200 && status < 300 ? Outcome.OK : Outcome.FAILED;
         }
 
+        @Override
+        public int maxBodyBytes() {
+            return MAX_RESPONSE_BYTES;
+        }
+
         @Override
         public boolean wantsErrorBody() {
             return true;
--- a/src/main/java/quartzspan/http/ConnectionPool.java
+++ b/src/main/java/quartzspan/http/ConnectionPool.java
@@ -231,6 +231,11 @@
             return true;
         }
 
+        /** The largest body in bytes that is accepted unless it is streamed; the response to a larger one counts as failed. */
+        default int maxBodyBytes() {
+            return HttpFraming.MAX_BODY_BYTES;
+        }
+
         /** Whether the body of unsuccessful responses and the headers of all responses are delivered. */
         default boolean wantsErrorBody() {
             return false;
@@ -455,11 +460,6 @@
             return stale;
         }
 
-        /** Whether the complete request was written. */
-        public boolean sent() {
-            return writeFuture != null && writeFuture.isSuccess();
-        }
-
         /** Cancels the attempt and closes its connection, so that the server can stop working on the request. */
         public void cancel() {
             abandon(Outcome.CANCELED);
@@ -631,7 +631,7 @@
                     }
                     return;
                 }
-                if (body.readableBytes() + content.content().readableBytes() > HttpFraming.MAX_BODY_BYTES) {
+                if (body.readableBytes() + content.content().readableBytes() > current.responseHandler.maxBodyBytes()) {
                     rejectResponse();
                     return;
                 }
@@ -656,7 +656,7 @@
                 return;
             } else if (successful && current.responseHandler.streamsBody(response)) {
                 streaming = true;
-            } else if (HttpFraming.exceedsLength(response.headers(), HttpFraming.MAX_BODY_BYTES)) {
+            } else if (HttpFraming.exceedsLength(response.headers(), current.responseHandler.maxBodyBytes())) {
                 rejectResponse();
             } else if (status > 200 && !lengthDeclared) {
                 completeResponse();
--- a/src/test/java/quartzspan/controlplane/ServerClientTest.java
+++ b/src/test/java/quartzspan/controlplane/ServerClientTest.java
@@ -9,13 +9,21 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
@@ -156,4 +164,78 @@
             }
         }
     }
+
+    /** A stand-in server that answers every request with the same body, on connections that it keeps open. */
+    private final class KeepAliveServer implements AutoCloseable {
+        /** Connection numbers, in the order of the requests. */
+        private final List<Integer> connections = Collections.synchronizedList(new ArrayList<>());
+
+        private final byte[] response;
+        private final ExecutorService executor = Executors.newCachedThreadPool();
+
+        KeepAliveServer(String body) {
+            response = ("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
+                    .getBytes(StandardCharsets.US_ASCII);
+            executor.execute(this::accept);
+        }
+
+        private void accept() {
+            try {
+                for (int number = 0; !serverSocket.isClosed(); number++) {
+                    Socket accepted = serverSocket.accept();
+                    int connection = number;
+                    executor.execute(() -> serve(connection, accepted));
+                }
+            } catch (IOException closed) {
+                executor.shutdown();
+            }
+        }
+
+        private void serve(int connection, Socket accepted) {
+            try (accepted) {
+                byte[] buffer = new byte[4_096];
+                while (accepted.getInputStream().read(buffer) > 0) {
+                    connections.add(connection);
+                    accepted.getOutputStream().write(response);
+                }
+            } catch (IOException closed) {
+                executor.shutdown();
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            serverSocket.close();
+            executor.shutdownNow();
+        }
+    }
+
+    private byte[] get(String path) throws Exception {
+        CompletableFuture<byte[]> result = new CompletableFuture<>();
+        loop.execute(() -> client.get(server, path, Map.of(), (status, body) -> result.complete(body)));
+        return result.get(TIMEOUT_S, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void orderGetsAConnectionOfItsOwnThoughReportsReuseOne() throws Exception {
+        try (KeepAliveServer keepAlive = new KeepAliveServer("{}")) {
+            Set<Integer> seen = new HashSet<>();
+            do {
+                seen.addAll(keepAlive.connections);
+                get("/quartzspan/report");
+            } while (!seen.contains(keepAlive.connections.get(keepAlive.connections.size() - 1)));
+            assertEquals(200, post(() -> true).get(TIMEOUT_S, TimeUnit.SECONDS));
+            int ordered = keepAlive.connections.get(keepAlive.connections.size() - 1);
+            assertFalse(seen.contains(ordered), "connection " + ordered + " of " + seen);
+        }
+    }
+
+    @Test
+    void longListOfCachedBlocksIsReadWhole() throws Exception {
+        String list = "x".repeat(300 * 1024);
+        try (KeepAliveServer keepAlive = new KeepAliveServer(list)) {
+            assertEquals(list.length(), get("/quartzspan/kv-list").length);
+            assertEquals(List.of(0), keepAlive.connections);
+        }
+    }
 }
