Core: CoreNode, the part of a core machine without I/O

ControlPlane composed registry, gossip, failure detector, acknowledgement of draining and rollout between its sockets, so no simulation could play them together. RolloutActions sees the replica and the requests to servers through two interfaces. No logic changed: order of the tick's steps as before, except that idle connections are closed after the acknowledgements' and the rollout's timers instead of before.

--- a/src/main/java/quartzspan/controlplane/ControlPlane.java
+++ b/src/main/java/quartzspan/controlplane/ControlPlane.java
@@ -8,9 +8,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.net.InetSocketAddress;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
@@ -23,11 +21,7 @@
 import quartzspan.http.HttpServer;
 import quartzspan.prefixcache.PrefixCacheUpdate;
 import quartzspan.registry.CoreMachine;
-import quartzspan.registry.Gossip;
 import quartzspan.registry.GossipMessage;
-import quartzspan.registry.HeartbeatTracker;
-import quartzspan.registry.Registry;
-import quartzspan.registry.RegistryEntry;
 import quartzspan.replication.ControlState;
 import quartzspan.replication.Replica;
 import quartzspan.replication.ReplicaMessage;
@@ -46,25 +40,17 @@
     private static final int MAX_BODY_BYTES = 12 * 1024 * 1024;
     private static final int CLIENT_TIMEOUT_MS = 30_000;
     private static final int MIN_CLIENT_CONNECTIONS = 64;
-    /** No server or proxy is declared lost while the local state is older than this. */
-    private static final long MAX_STALENESS_MS = 1_000;
-
     private static final int SERVER_CONNECT_TIMEOUT_US = 500_000;
     private static final int SERVER_IDLE_TIMEOUT_US = 2_000_000;
     private static final int MAX_SERVER_CONNECTIONS = 256;
     private static final int INTERNAL_IDLE_TIMEOUT_MS = 10_000;
-    /** A core machine from which no message has arrived for this long counts as unreachable. */
-    private static final long CORE_TIMEOUT_MS = 1_500;
-
     private static final long SHUTDOWN_TIMEOUT_MS = 200;
 
     private final Settings settings;
     private final Clock clock = new Clock();
     private final EventLoopGroup group;
     private final EventLoop loop;
-    private final Registry registry;
-    private final HeartbeatTracker heartbeats;
-    private final Gossip gossip;
+    private final CoreNode node;
     private final TcpTransport transport;
     private final ReplicaHost replicaHost;
     private final Replica replica;
@@ -73,21 +59,16 @@
     private final ConnectionPool connectionPool;
     private final RequestRouter router;
     private final String self;
-    private final DrainAcknowledger drainAcknowledger;
     private final ServerClient serverClient;
-    private final RolloutActions rolloutActions;
     private final PrefixCacheIndexer prefixCacheIndexer;
     private final GracefulShutdown shutdown;
     private final CountDownLatch stopped = new CountDownLatch(1);
-    /** Time of the last message of each other core machine, by internal address. */
-    private final Map<String, Long> lastCoreMessageAtMs = new HashMap<>();
 
     private ControlPlane(Settings settings, EventLoopGroup group, EventLoop loop) {
         this.settings = settings;
         this.group = group;
         this.loop = loop;
         this.self = hostAndPort(settings.internalAddress());
-        this.registry = new Registry(settings.bounds().versionApplyMs());
         this.connectionLimits = new HttpServer.ConnectionLimits(
                 Math.max(MIN_CLIENT_CONNECTIONS, settings.fileDescriptors() / 2),
                 MAX_HEADER_BYTES,
@@ -102,31 +83,19 @@
         this.connectionPool =
                 new ConnectionPool(loop, SERVER_CONNECT_TIMEOUT_US, SERVER_IDLE_TIMEOUT_US, MAX_SERVER_CONNECTIONS);
         this.serverClient = new ServerClient(connectionPool);
-        this.heartbeats = new HeartbeatTracker(registry, settings.heartbeatMs());
-        this.gossip = new Gossip(self, true, seeds, registry, transport::send, Gossip.firstNonce(System.nanoTime()));
+        this.node = new CoreNode(
+                settings, self, seeds, this::nowMs, replicaHost, transport::send, serverClient, System.nanoTime());
         this.httpServer = new HttpServer(this, loop);
-        this.drainAcknowledger = new DrainAcknowledger(gossip);
-        this.rolloutActions = new RolloutActions(
-                settings,
-                self,
-                this::nowMs,
-                replicaHost,
-                heartbeats,
-                gossip,
-                serverClient,
-                registry.weightsDeadlines());
-        this.prefixCacheIndexer = new PrefixCacheIndexer(this::nowMs, self, registry, gossip, transport, serverClient);
+        this.prefixCacheIndexer =
+                new PrefixCacheIndexer(this::nowMs, self, node.registry(), node.gossip(), transport, serverClient);
         this.shutdown = new GracefulShutdown(new ReplicaHandover(), gracePeriodMs());
         this.router = createRouter();
     }
 
     private RequestRouter createRouter() {
-        ServerApi serverApi = new ServerApi(
-                this::nowMs,
-                new HeartbeatHandler(registry, heartbeats, gossip, this::freshAtMs),
-                drainAcknowledger,
-                this::requiredDrainAcks);
-        OperatorApi operatorApi = new OperatorApi(this::nowMs, replicaHost, registry);
+        ServerApi serverApi =
+                new ServerApi(this::nowMs, node.heartbeatHandler(), node.drainAcknowledger(), node::requiredDrainAcks);
+        OperatorApi operatorApi = new OperatorApi(this::nowMs, replicaHost, node.registry());
         return new RequestRouter()
                 .addRoute("POST", "/quartzspan/Instances.Heartbeat/", serverApi::heartbeat)
                 .addRoute("POST", "/quartzspan/Instances.Deregister/", serverApi::deregister)
@@ -186,7 +155,7 @@
     private void startPeriodicTasks() {
         connectionPool.startIdleEviction();
         String control = hostAndPort(settings.listenAddress("control_plane"));
-        registry.merge(nowMs(), new CoreMachine(self, control, settings.zone()).entry());
+        node.register(nowMs(), new CoreMachine(self, control, settings.zone()));
         loop.scheduleWithFixedDelay(
                 new PeriodicTask("control plane tick", this::tick), 1, TICK_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
@@ -227,111 +196,38 @@
     }
 
     private void status(HttpServer.ClientConnection client, HttpRequest request, byte[] body, String pathSuffix) {
-        byte[] json = StatusReport.toJson(nowMs(), settings.nodeName(), replica, registry);
+        byte[] json = StatusReport.toJson(nowMs(), settings.nodeName(), replica, node.registry());
         RequestRouter.respond(client, HttpResponseStatus.OK, json);
     }
 
     private void tick() {
         long now = nowMs();
         replicaHost.onTick(now);
-        freshAtMs();
-        gossip.onTick(now, replica.isPrimary() ? null : replica.knownPrimary(now));
-        reportHeartbeats(now);
-        expireUnresponsive(now);
-        registry.expire(now);
+        node.onTick(now);
         transport.closeIdle(INTERNAL_IDLE_TIMEOUT_MS);
-        serverClient.closeDeregistered(this::isDeregistered);
-        drainAcknowledger.onTick(now);
-        rolloutActions.onTick(now, registry);
-        prefixCacheIndexer.onTick(now, reachableCores(now));
-        if (shutdown.isComplete(now, drainAcknowledger.isIdle() && replicaHost.isIdle())) {
+        serverClient.closeDeregistered(node::isDeregistered);
+        prefixCacheIndexer.onTick(now, node.reachableCores(now));
+        if (shutdown.isComplete(now, node.drainAcknowledger().isIdle() && replicaHost.isIdle())) {
             stopped.countDown();
         }
     }
 
-    /**
-     * Time at which the local state was last known to be the latest. On a primary, a quorum may have confirmed it since the
-     * last tick.
-     */
-    private long freshAtMs() {
-        if (replica.isPrimary()) {
-            registry.confirmFresh(replica.confirmedAtMs());
-        }
-        return registry.freshAtMs();
-    }
-
-    /** Reports to the other core machines which servers and proxies have sent messages to this one. */
-    private void reportHeartbeats(long now) {
-        List<RegistryEntry> unreported = heartbeats.takeUnreported(now);
-        if (!unreported.isEmpty()) {
-            GossipMessage report = GossipMessage.heartbeats(unreported);
-            gossip.cores().forEach(core -> transport.send(core, report));
-        }
-    }
-
-    private void expireUnresponsive(long now) {
-        if (now - freshAtMs() > MAX_STALENESS_MS) {
-            heartbeats.restartTimeouts(now);
-            return;
-        }
-        List<RegistryEntry> lost = heartbeats.expireTimedOut(now);
-        if (!lost.isEmpty()) {
-            LOG.info("lost: {}", lost.stream().map(RegistryEntry::key).toList());
-            gossip.broadcast(now, new Registry.Update(lost, false), null);
-        }
-    }
-
-    private boolean isDeregistered(String server) {
-        RegistryEntry entry = registry.entry(RegistryEntry.Subject.SERVER, server);
-        return entry != null && entry.state() == RegistryEntry.State.GONE;
-    }
-
-    private List<String> reachableCores(long now) {
-        lastCoreMessageAtMs.values().removeIf(at -> now - at > CORE_TIMEOUT_MS);
-        return List.copyOf(lastCoreMessageAtMs.keySet());
-    }
-
     private void onMessage(Hello from, Object message) {
         long now = nowMs();
         if (from.core()) {
-            lastCoreMessageAtMs.put(from.address(), now);
+            node.onCoreMessage(now, from.address());
         }
         if (message instanceof PrefixCacheUpdate update) {
             prefixCacheIndexer.onUpdate(from.address(), from.core(), update);
         } else if (message instanceof ReplicaMessage replicaMessage && from.core()) {
             replica.onMessage(now, from.address(), replicaMessage);
         } else if (message instanceof GossipMessage gossipMessage) {
-            onGossip(now, from, gossipMessage);
-        }
-    }
-
-    private void onGossip(long now, Hello from, GossipMessage message) {
-        if (message.kind() == GossipMessage.Kind.HEARTBEATS) {
-            heartbeats.onPeerReport(now, message.entries());
-            return;
+            node.onGossip(now, from.address(), from.core() ? null : from.zone(), gossipMessage);
         }
-        if (!from.core()) {
-            RegistryEntry joined = heartbeats.onProxyMessage(now, from.address(), from.zone());
-            if (joined != null) {
-                gossip.broadcast(now, joined);
-            }
-        }
-        gossip.onGossip(now, from.address(), message);
     }
 
     private void onStateCommitted(long index, ControlState state) {
-        if (registry.publish(index, state)) {
-            gossip.onPublished(nowMs());
-        }
-    }
-
-    /**
-     * Number of other core machines that must have the entry of a draining server: the number of machines that may be lost at
-     * once.
-     */
-    private int requiredDrainAcks() {
-        int others = replica.membership().voters().size() - 1;
-        return others < 0 ? settings.toleratedFailures() : Math.min(settings.toleratedFailures(), others);
+        node.onStateCommitted(nowMs(), index, state);
     }
 
     /** Hands over this machine's role in the control state during a graceful shutdown. */
@@ -339,7 +235,7 @@
         @Override
         public void beginHandover(long now) {
             LOG.info("shutdown requested, role {}", replica.role());
-            gossip.stopAcknowledging();
+            node.gossip().stopAcknowledging();
             replica.beginHandover(now);
         }
 
--- a/src/main/java/quartzspan/controlplane/ReplicaHost.java
+++ b/src/main/java/quartzspan/controlplane/ReplicaHost.java
@@ -24,7 +24,7 @@
  * Runs the replica of the control state: connects it to the network, to a disk with a thread of its own, and to the requests
  * that wait for its result. All calls are made on the event loop.
  */
-final class ReplicaHost {
+final class ReplicaHost implements ReplicaAccess {
     private static final Logger LOG = LoggerFactory.getLogger(ReplicaHost.class);
 
     /** Called with each committed state. */
@@ -88,12 +88,13 @@
         }
     }
 
-    Replica replica() {
+    @Override
+    public Replica replica() {
         return replica;
     }
 
-    /** Submits a change of the control state; the callback receives the result. */
-    void submit(Change change, PendingReplicaRequests.Callback callback) {
+    @Override
+    public void submit(Change change, PendingReplicaRequests.Callback callback) {
         replica.submit(clockMs.getAsLong(), pending.add(callback), change);
     }
 
--- a/src/main/java/quartzspan/controlplane/RolloutActions.java
+++ b/src/main/java/quartzspan/controlplane/RolloutActions.java
@@ -29,10 +29,10 @@
     private final String self;
     private final String nodeName;
     private final LongSupplier clockMs;
-    private final ReplicaHost replicaHost;
+    private final ReplicaAccess replicaAccess;
     private final HeartbeatTracker heartbeats;
     private final Gossip gossip;
-    private final ServerClient serverClient;
+    private final ServerCalls serverCalls;
     private final RolloutCoordinator coordinator;
     /** Target versions that have been logged, by model. */
     private final Map<String, Long> loggedTargets = new HashMap<>();
@@ -43,18 +43,18 @@
             Settings settings,
             String self,
             LongSupplier clockMs,
-            ReplicaHost replicaHost,
+            ReplicaAccess replicaAccess,
             HeartbeatTracker heartbeats,
             Gossip gossip,
-            ServerClient serverClient,
+            ServerCalls serverCalls,
             WeightsDeadlines deadlines) {
         this.self = self;
         this.nodeName = settings.nodeName();
         this.clockMs = clockMs;
-        this.replicaHost = replicaHost;
+        this.replicaAccess = replicaAccess;
         this.heartbeats = heartbeats;
         this.gossip = gossip;
-        this.serverClient = serverClient;
+        this.serverCalls = serverCalls;
         RolloutPlanner planner = new RolloutPlanner(deadlines);
         this.coordinator = new RolloutCoordinator(self, settings.bounds().leaseMs(), planner, this::leadership, this);
     }
@@ -75,7 +75,7 @@
     }
 
     private Optional<RolloutCoordinator.Leadership> leadership() {
-        Replica replica = replicaHost.replica();
+        Replica replica = replicaAccess.replica();
         if (!replica.isPrimary()) {
             return Optional.empty();
         }
@@ -91,7 +91,7 @@
     @Override
     public void claim(Epoch epoch) {
         Change claim = new Change(Change.Kind.ROLLOUT_CLAIM, 0, self.getBytes(StandardCharsets.UTF_8));
-        replicaHost.submit(claim, (rejection, state) -> {
+        replicaAccess.submit(claim, (rejection, state) -> {
             boolean granted = rejection == null && state.rolloutHolder().equals(self);
             coordinator.onClaimResult(epoch, granted, granted ? state.fencingToken() : 0);
         });
@@ -112,7 +112,7 @@
     public void sendOrder(RolloutCoordinator.Order order) {
         Server server = order.server();
         LOG.info("server {} is ordered to load version {} of {}", server.id(), order.version(), order.model());
-        serverClient.post(
+        serverCalls.post(
                 server,
                 "/quartzspan/order",
                 RolloutCoordinator.toJson(order, nodeName),
@@ -128,7 +128,7 @@
 
     @Override
     public void requestReport(Server server) {
-        serverClient.get(server, "/quartzspan/report", Map.of(), (status, body) -> {
+        serverCalls.get(server, "/quartzspan/report", Map.of(), (status, body) -> {
             if (status == RolloutCoordinator.STATUS_OK) {
                 onReport(server, JsonFields.parse(body));
             }
--- a/src/main/java/quartzspan/controlplane/ServerClient.java
+++ b/src/main/java/quartzspan/controlplane/ServerClient.java
@@ -21,23 +21,13 @@
  * Sends the core machine's own requests to servers, over pooled connections: a new connection costs a server as much as a
  * small request.
  */
-final class ServerClient {
+final class ServerClient implements ServerCalls {
     private static final Logger LOG = LoggerFactory.getLogger(ServerClient.class);
     private static final long CALL_TIMEOUT_MS = 2_000;
     private static final int CONNECTIONS_PER_SERVER = 4;
     /** A list of all blocks that a server has cached is the largest response. */
     private static final int MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
 
-    /** Status of a request that ended without a response: it may have been executed. */
-    static final int NO_RESPONSE = 0;
-    /** Status of a request that was certainly not executed. */
-    static final int NOT_SENT = -1;
-
-    /** Called once when a request ends, with an HTTP status, {@link #NO_RESPONSE} or {@link #NOT_SENT}. */
-    interface ResponseListener {
-        void onResponse(int status, byte[] body);
-    }
-
     private final ConnectionPool connectionPool;
     private final Map<String, ConnectionPool.Endpoint> endpoints = new HashMap<>();
 
@@ -58,18 +48,13 @@
         });
     }
 
-    /** Sends a GET request. */
-    void get(Server server, String path, Map<String, String> headers, ResponseListener listener) {
+    @Override
+    public void get(Server server, String path, Map<String, String> headers, ResponseListener listener) {
         send(server, "GET", path, headers, "", CALL_TIMEOUT_MS, () -> true, listener);
     }
 
-    /**
-     * Sends a POST request that may be written only while it is permitted.
-     *
-     * @param timeoutMs time after which the request is abandoned and can no longer arrive
-     * @param permitted checked immediately before each write to the socket, once the connection is established
-     */
-    void post(
+    @Override
+    public void post(
             Server server,
             String path,
             String json,
