Proxy: FleetView, what a proxy knows and may do by it, without I/O

The checks at use (fresh configuration, a stall, usable weights) now stand in one class. No logic changed.

--- a/src/main/java/quartzspan/frontend/FrontendProxy.java
+++ b/src/main/java/quartzspan/frontend/FrontendProxy.java
@@ -28,9 +28,7 @@
 import quartzspan.loadbalancing.RetryBudget;
 import quartzspan.prefixcache.PrefixCacheIndex;
 import quartzspan.prefixcache.PrefixCacheUpdate;
-import quartzspan.registry.Gossip;
 import quartzspan.registry.GossipMessage;
-import quartzspan.registry.Registry;
 import quartzspan.transport.MessageCodec.Hello;
 import quartzspan.transport.TcpTransport;
 
@@ -58,11 +56,6 @@
     private static final double RETRY_AFTER_JITTER_RANGE = 0.4;
     /** The Retry-After time while the proxy has no fresh configuration. */
     private static final long NOT_READY_RETRY_AFTER_US = 300_000;
-    /**
-     * The configuration counts as stale this long before a revoked API key must be rejected: a request starts at its server some
-     * time after its key was checked.
-     */
-    private static final long FRESHNESS_MARGIN_MS = 700;
     /** Margins by which the enforced limits of header size and idle time exceed those stated to clients. */
     private static final int HEADER_MARGIN_BYTES = 1024;
 
@@ -73,14 +66,12 @@
     private final Clock clock = new Clock();
     private final EventLoopGroup group;
     private final EventLoop loop;
-    private final Registry registry;
-    private final Gossip gossip;
+    private final FleetView fleet;
     private final TcpTransport transport;
     private final HttpServer httpServer;
     private final HttpServer readinessServer;
     private final ConnectionPool connectionPool;
     private final PrefixCacheIndex prefixCacheIndex = new PrefixCacheIndex();
-    private final EndpointDirectory endpoints;
     private final PrefixCacheRouting prefixCacheRouting;
     private final SplittableRandom random = new SplittableRandom(System.nanoTime());
     private final RequestClassifier classifier = new RequestClassifier(random);
@@ -96,19 +87,23 @@
         this.settings = settings;
         this.group = group;
         this.loop = loop;
-        this.registry = new Registry(settings.bounds().versionApplyMs());
         this.shutdown = new ShutdownSchedule(gracePeriodMs(settings), nowMs());
         String internalAddress = hostAndPort(settings.internalAddress());
         int maxServerConnections = Math.max(MIN_CONNECTIONS, (settings.fileDescriptors() - RESERVED_DESCRIPTORS) / 3);
         this.connectionPool =
                 new ConnectionPool(loop, CONNECT_TIMEOUT_US, SERVER_IDLE_TIMEOUT_US, maxServerConnections);
-        this.endpoints = new EndpointDirectory(registry, connectionPool, prefixCacheIndex, clock::now);
-        this.prefixCacheRouting = new PrefixCacheRouting(endpoints, prefixCacheIndex, clock);
         this.transport =
                 new TcpTransport(loop, new Hello(false, internalAddress, "", settings.zone()), this::onMessage);
-        this.gossip = new Gossip(
-                internalAddress, false, seeds, registry, transport::send, Gossip.firstNonce(System.nanoTime()));
-        gossip.preferZone(settings.zone());
+        this.fleet = new FleetView(
+                settings,
+                internalAddress,
+                seeds,
+                clock::now,
+                transport::send,
+                connectionPool,
+                prefixCacheIndex,
+                System.nanoTime());
+        this.prefixCacheRouting = new PrefixCacheRouting(fleet.endpoints(), prefixCacheIndex, clock);
         this.httpServer = new HttpServer(this, loop);
         this.readinessServer = new HttpServer(new ReadinessHandler(clock, this::isReady), loop);
     }
@@ -167,7 +162,7 @@
 
     /** Applies changed settings at run time: only the seed nodes are updated. */
     void reload(Settings changed) {
-        loop.execute(() -> gossip.setSeeds(seeds(changed)));
+        loop.execute(() -> fleet.setSeeds(seeds(changed)));
     }
 
     /**
@@ -233,7 +228,7 @@
     }
 
     EndpointDirectory endpoints() {
-        return endpoints;
+        return fleet.endpoints();
     }
 
     RetryBudget retryBudget() {
@@ -253,9 +248,8 @@
         inFlight.remove(request);
     }
 
-    /** Whether a request may be written to a server now, by what is known of the fleet, if the server is to have a weights version. */
-    boolean maySend(String server, long weightsVersion) {
-        return !gossip.mayBeOutdated(nowMs()) && endpoints.mayUseWeights(server, weightsVersion);
+    FleetView fleet() {
+        return fleet;
     }
 
     /** Time in microseconds after which a client should retry a rejected request. */
@@ -276,27 +270,15 @@
     }
 
     private Configuration configuration() {
-        return registry.state().configuration();
-    }
-
-    /** Whether this proxy's configuration is recent enough to authorise requests. */
-    private boolean isConfigurationFresh() {
-        if (configuration().version() == 0) {
-            return false;
-        }
-        if (!settings.bounds().strictRevocation()) {
-            return registry.freshAtMs() > 0;
-        }
-        long ageMs = nowMs() - registry.freshAtMs();
-        return ageMs < settings.bounds().revocationMs() - FRESHNESS_MARGIN_MS;
+        return fleet.configuration();
     }
 
     private boolean isReady() {
-        return ready && isConfigurationFresh() && !shutdown.hasBegun();
+        return ready && fleet.isConfigurationFresh() && !shutdown.hasBegun();
     }
 
     private void becomeReadyIfFresh() {
-        if (!ready && isConfigurationFresh() && !shutdown.hasBegun()) {
+        if (!ready && fleet.isConfigurationFresh() && !shutdown.hasBegun()) {
             ready = true;
             LOG.info("ready, configuration version {}", configuration().version());
         }
@@ -305,8 +287,7 @@
     private void tick() {
         long now = nowMs();
         shutdown.onTick(now);
-        gossip.onTick(now, null);
-        registry.expire(now);
+        fleet.onTick();
         transport.closeIdle(PEER_IDLE_TIMEOUT_MS);
         becomeReadyIfFresh();
     }
@@ -315,7 +296,7 @@
         if (message instanceof PrefixCacheUpdate update) {
             onPrefixCacheUpdate(from, update);
         } else if (message instanceof GossipMessage gossipMessage) {
-            endpoints.onRegistryUpdate(gossip.onGossip(nowMs(), from.address(), gossipMessage));
+            fleet.onGossip(from.address(), gossipMessage);
             becomeReadyIfFresh();
         }
     }
@@ -330,7 +311,7 @@
 
     @Override
     public void onRequest(HttpServer.ClientConnection client, HttpRequest request, byte[] body, long receivedAtUs) {
-        if (!isConfigurationFresh() || gossip.mayBeOutdated(nowMs())) {
+        if (!fleet.mayHandleRequests()) {
             reject(client, NOT_READY_RETRY_AFTER_US);
             return;
         }
@@ -352,7 +333,10 @@
             return;
         }
         Settings.Bounds bounds = settings.bounds();
-        retryBudget.onRequest(bounds.retryBudgetRatio(), bounds.retryAllowance(), endpoints.proxyCount());
+        retryBudget.onRequest(
+                bounds.retryBudgetRatio(),
+                bounds.retryAllowance(),
+                fleet.endpoints().proxyCount());
         ProxiedRequest proxied = new ProxiedRequest(
                 this,
                 client,
--- a/src/main/java/quartzspan/frontend/ProxiedRequest.java
+++ b/src/main/java/quartzspan/frontend/ProxiedRequest.java
@@ -114,7 +114,7 @@
                         endpoint,
                         new OutgoingRequest(request.method(), request.uri(), headers, request.body()),
                         remainingUs,
-                        () -> !ended && proxy.maySend(target, expectedWeights),
+                        () -> !ended && proxy.fleet().maySend(target, expectedWeights),
                         this,
                         this::onAttemptEnded);
         attempt.start(connectionReuse(target));
