--- a/src/main/java/quartzspan/frontend/EndpointDirectory.java
+++ b/src/main/java/quartzspan/frontend/EndpointDirectory.java
@@ -87,10 +87,15 @@
         return registry.weightsDeadlines().requiredVersion(clockUs.getAsLong() / US_PER_MS, server.model());
     }
 
-    /** Whether weights of this version, or of an unknown one (0), may still be used for a request that is sent now. */
-    boolean mayUseWeights(String server, long weightsVersion) {
+    /**
+     * Whether a request may be sent to a server now: it is listed as ready, and weights of this version, or of an unknown one
+     * (0), may still be used.
+     */
+    boolean mayUse(String server, long weightsVersion) {
         Server listed = servers.get(server);
-        return listed == null || weightsVersion == 0 || weightsVersion >= requiredVersion(listed);
+        return listed != null
+                && listed.state() == RegistryEntry.State.READY
+                && (weightsVersion == 0 || weightsVersion >= requiredVersion(listed));
     }
 
     /**
--- a/src/main/java/quartzspan/frontend/FleetView.java
+++ b/src/main/java/quartzspan/frontend/FleetView.java
@@ -96,6 +96,6 @@
 
     /** Whether a request may be written to a server now, if the server is to have a weights version (0: any). */
     boolean maySend(String server, long weightsVersion) {
-        return !gossip.mayBeOutdated(nowMs()) && endpoints.mayUseWeights(server, weightsVersion);
+        return !gossip.mayBeOutdated(nowMs()) && endpoints.mayUse(server, weightsVersion);
     }
 }
--- a/src/test/java/quartzspan/frontend/EndpointDirectoryTest.java
+++ b/src/test/java/quartzspan/frontend/EndpointDirectoryTest.java
@@ -81,10 +81,10 @@
     void serverIsNotUsedOnOldWeightsOnceTheyAreAboutToBeOverdueThoughNoMessageSaysSo() {
         nowMs = USABLE_UNTIL_MS - 1;
         assertEquals(2, endpoints.expectedWeightsVersion("i-2"));
-        assertTrue(endpoints.mayUseWeights("i-2", 2));
+        assertTrue(endpoints.mayUse("i-2", 2));
         nowMs = USABLE_UNTIL_MS;
         assertEquals(3, endpoints.expectedWeightsVersion("i-2"));
-        assertFalse(endpoints.mayUseWeights("i-2", 2));
+        assertFalse(endpoints.mayUse("i-2", 2));
         assertFalse(endpoints.onVersionMismatch("i-2"), "it would reject the request again");
     }
 
@@ -122,7 +122,8 @@
         nowMs = 2 * USABLE_UNTIL_MS;
         list("i-0", 0, 0);
         assertEquals(0, endpoints.expectedWeightsVersion("i-0"));
-        assertTrue(endpoints.mayUseWeights("i-0", 0));
+        assertTrue(endpoints.mayUse("i-0", 0));
+        assertFalse(endpoints.mayUse("not listed", 0));
         assertEquals("i-0", pick());
         assertEquals(0, endpoints.expectedWeightsVersion("not listed"));
     }
