--- a/src/test/java/quartzspan/frontend/EndpointDirectoryTest.java
+++ b/src/test/java/quartzspan/frontend/EndpointDirectoryTest.java
@@ -127,4 +127,23 @@
         assertEquals("i-0", pick());
         assertEquals(0, endpoints.expectedWeightsVersion("not listed"));
     }
+
+    @Test
+    void serverThatDrainsIsNotUsed() {
+        RegistryEntry old = registry.entry(RegistryEntry.Subject.SERVER, "i-2");
+        RegistryEntry draining = new RegistryEntry(
+                RegistryEntry.Subject.SERVER, "i-2", old.seq() + 1, RegistryEntry.State.DRAINING, old.text());
+        assertTrue(endpoints.mayUse("i-2", 2));
+        registry.merge(nowMs, draining);
+        endpoints.onRegistryUpdate(new Registry.Update(List.of(draining), false));
+        assertFalse(endpoints.mayUse("i-2", 2));
+        assertEquals(null, pick());
+    }
+
+    @Test
+    void serverThatWasOrderedToLoadIsExpectedToHaveTheNewWeights() {
+        list("i-2", 2, 3);
+        assertEquals(3, endpoints.expectedWeightsVersion("i-2"));
+        assertFalse(endpoints.onVersionMismatch("i-2"));
+    }
 }
--- a/src/test/java/quartzspan/replication/simulation/FaultInjector.java
+++ b/src/test/java/quartzspan/replication/simulation/FaultInjector.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
+import quartzspan.simulation.EventQueue;
 
 /** Injects faults as far as the fault budget currently allows. */
 final class FaultInjector {
--- a/src/test/java/quartzspan/replication/simulation/SimulatedMachine.java
+++ b/src/test/java/quartzspan/replication/simulation/SimulatedMachine.java
@@ -9,6 +9,7 @@
 import java.util.function.LongConsumer;
 import quartzspan.common.FleetException;
 import quartzspan.replication.ControlState;
+import quartzspan.simulation.EventQueue;
 
 /** A core machine: its disk and the successive incarnations of its process. */
 final class SimulatedMachine implements ReplicaAdapter.Host {
--- a/src/test/java/quartzspan/replication/simulation/Simulation.java
+++ b/src/test/java/quartzspan/replication/simulation/Simulation.java
@@ -9,6 +9,7 @@
 import java.util.TreeMap;
 import java.util.function.Supplier;
 import quartzspan.replication.simulation.Violation.Rule;
+import quartzspan.simulation.EventQueue;
 
 /** Runs one scenario in simulated time; throws {@link Violation} if a rule is violated. */
 final class Simulation {
--- a/src/test/java/quartzspan/replication/simulation/SimulationRunner.java
+++ b/src/test/java/quartzspan/replication/simulation/SimulationRunner.java
@@ -97,11 +97,34 @@
                 + (withTrace ? "\n" + String.join("\n", replay.traceLines()) : "");
     }
 
+    /** Prints the first scenario that violates a rule or fails. */
+    private static void printFirstViolation(long firstSeed, long count) {
+        for (long seed = firstSeed; seed < firstSeed + count; seed++) {
+            SimulationRunner runner = new SimulationRunner();
+            try {
+                runner.run(seed);
+            } catch (IllegalStateException failed) {
+                System.out.println("first violation: scenario " + seed + ", "
+                        + failed.getCause().getClass().getSimpleName());
+                return;
+            }
+            if (!runner.violations.isEmpty()) {
+                System.out.println("first violation: scenario " + seed + ", "
+                        + runner.violations.get(seed).rule());
+                return;
+            }
+        }
+    }
+
     /**
      * Arguments: first seed, number of scenarios, number of violations after which to stop (0: run in order until the first
-     * violation), number of violations to explain.
+     * violation), number of violations to explain; or {@code untilViolation}, first seed, number of scenarios.
      */
     public static void main(String[] arguments) {
+        if (arguments[0].equals("untilViolation")) {
+            printFirstViolation(Long.parseLong(arguments[1]), Long.parseLong(arguments[2]));
+            return;
+        }
         long firstSeed = Long.parseLong(arguments[0]);
         long count = Long.parseLong(arguments[1]);
         int maxViolations = Integer.parseInt(arguments[2]);
--- a/src/test/java/quartzspan/replication/simulation/StepTriggers.java
+++ b/src/test/java/quartzspan/replication/simulation/StepTriggers.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import quartzspan.simulation.EventQueue;
 
 /** Runs steps that wait for an event. */
 final class StepTriggers {
--- a/src/test/java/quartzspan/simulation/EventQueue.java
+++ b/src/test/java/quartzspan/simulation/EventQueue.java
@@ -1,9 +1,9 @@
-package quartzspan.replication.simulation;
+package quartzspan.simulation;
 
 import java.util.PriorityQueue;
 
 /** Event queue of simulated time: events run in time order; events of the same time run in scheduling order. */
-final class EventQueue {
+public final class EventQueue {
     private record Event(long atMs, long order, Runnable action) {}
 
     private final PriorityQueue<Event> events = new PriorityQueue<>(
@@ -11,19 +11,19 @@
     private long nowMs;
     private long nextOrder;
 
-    EventQueue(long startMs) {
+    public EventQueue(long startMs) {
         nowMs = startMs;
     }
 
-    long nowMs() {
+    public long nowMs() {
         return nowMs;
     }
 
-    void schedule(long delayMs, Runnable action) {
+    public void schedule(long delayMs, Runnable action) {
         events.add(new Event(nowMs + Math.max(0, delayMs), ++nextOrder, action));
     }
 
-    void runUntil(long timeMs) {
+    public void runUntil(long timeMs) {
         while (!events.isEmpty() && events.peek().atMs <= timeMs) {
             Event event = events.poll();
             nowMs = event.atMs;
