Tests: stalls, slow loads and focused steps in the simulated world; its logs are quiet

A process may stall by itself, which excuses nothing; servers load for up to 7 s; two thirds of a scenario's steps are mixed, one third about one matter.

--- a/src/test/java/quartzspan/simulation/FleetFault.java
+++ b/src/test/java/quartzspan/simulation/FleetFault.java
@@ -29,7 +29,10 @@
         SLOW_DISK,
         FULL_DISK,
         SLOW_LINKS_OF_CORE,
+        /** The process does not run for a while of its own, which excuses nothing. */
+        STALL_CORE,
         KILL_PROXY,
+        STALL_PROXY,
         FREEZE_PROXY,
         CUT_PROXY,
         CRASH_SERVER,
--- a/src/test/java/quartzspan/simulation/FleetFaults.java
+++ b/src/test/java/quartzspan/simulation/FleetFaults.java
@@ -12,6 +12,7 @@
     private static final long DISK_LOSS_INTERVAL_MS = 6_000;
 
     private static final int MAX_RESTART_MS = 800;
+    private static final int MAX_STALL_MS = 4_000;
     private static final int MAX_DISK_DELAY_MS = 600;
     private static final int MAX_LINK_DELAY_MS = 500;
     private static final int MAX_LOSS_PER_MILLE = 100;
@@ -85,7 +86,9 @@
                         () -> world.addDelay(core.name(), delayMs),
                         () -> world.addDelay(core.name(), -delayMs));
             }
+            case STALL_CORE -> stallFor(core, fault);
             case KILL_PROXY -> killFor(proxy, fault.durationMs());
+            case STALL_PROXY -> stallFor(proxy, fault);
             case FREEZE_PROXY -> freezeFor(proxy, fault.durationMs());
             case CUT_PROXY -> cutFor(proxy, fault.durationMs(), true);
             case CRASH_SERVER -> crashServer(fault);
@@ -123,6 +126,11 @@
         });
     }
 
+    private void stallFor(SimulatedProcess process, FleetFault fault) {
+        process.pause();
+        world.schedule(1 + (long) (fault.strength() * MAX_STALL_MS), process::resume);
+    }
+
     private void freezeFor(SimulatedProcess process, long durationMs) {
         process.freeze();
         world.schedule(durationMs, process::thaw);
--- a/src/test/java/quartzspan/simulation/FleetHistories.java
+++ b/src/test/java/quartzspan/simulation/FleetHistories.java
@@ -135,10 +135,17 @@
      * {@code untilViolation}, first seed, number of scenarios.
      */
     public static void main(String[] arguments) {
+        QuietLogs quietLogs = new QuietLogs();
+        boolean clean = runMain(arguments);
+        quietLogs.close();
+        System.exit(clean ? 0 : 1);
+    }
+
+    private static boolean runMain(String[] arguments) {
         FleetHistories histories = new FleetHistories();
         if (arguments[0].equals("untilViolation")) {
             histories.runUntilViolation(Long.parseLong(arguments[1]), Long.parseLong(arguments[2]));
-            return;
+            return histories.violations().isEmpty();
         }
         long startedNanos = System.nanoTime();
         histories.run(Long.parseLong(arguments[0]), Long.parseLong(arguments[1]), Integer.parseInt(arguments[2]));
@@ -147,6 +154,6 @@
         histories.violations().keySet().stream()
                 .limit(Integer.parseInt(arguments[3]))
                 .forEach(seed -> System.out.println(explain(seed)));
-        System.exit(histories.violations().isEmpty() ? 0 : 1);
+        return histories.violations().isEmpty();
     }
 }
--- a/src/test/java/quartzspan/simulation/FleetScenario.java
+++ b/src/test/java/quartzspan/simulation/FleetScenario.java
@@ -8,6 +8,7 @@
  * A scenario: the fleet, what its operators do, how late timers run, and the faults.
  *
  * @param maxTickLatenessMs how late the timers of each process may run, by the order of cores, then proxies; 0: on time
+ * @param maxLoadMs how long a server may take to load weights
  * @param steps what operators and servers do
  */
 record FleetScenario(
@@ -17,15 +18,20 @@
         int proxies,
         int servers,
         List<Integer> maxTickLatenessMs,
+        int maxLoadMs,
         List<OperatorStep> steps,
         List<FleetFault> faults) {
     static final long FIRST_FAULT_MS = 5_000;
     static final long LAST_FAULT_MS = 14_000;
-    static final long END_OF_FAULTS_MS = 18_000;
+    static final long END_OF_FAULTS_MS = 24_000;
 
     private static final long FIRST_STEP_MS = 3_000;
     private static final int MAX_FAULTS = 5;
     private static final int MAX_LATENESS_MS = 2_000;
+    private static final int MIN_LOAD_MS = 1_000;
+    private static final int MAX_SLOW_LOAD_MS = 6_000;
+    /** Nothing is changed in the last part, so that all bounds run out while timers are still late. */
+    private static final long LAST_STEP_MS = 18_000;
 
     /** What an operator or a server does. */
     enum Action {
@@ -39,6 +45,14 @@
 
     record OperatorStep(long atMs, Action action) {}
 
+    /** What the steps of a scenario are mostly about. */
+    private enum Focus {
+        MIXED,
+        ROLLOUT,
+        DRAINING,
+        CONFIGURATION
+    }
+
     /** The scenario of a seed. */
     static FleetScenario generate(long seed) {
         SplittableRandom random = new SplittableRandom(seed * 31 + 7);
@@ -51,28 +65,47 @@
         for (int i = 0; i < cores + proxies; i++) {
             lateness.add(late && random.nextBoolean() ? 50 + random.nextInt(MAX_LATENESS_MS - 49) : 0);
         }
+        Focus focus = Focus.values()[random.nextInt(Focus.values().length)];
+        int maxLoadMs = MIN_LOAD_MS + random.nextInt(focus == Focus.ROLLOUT ? MAX_SLOW_LOAD_MS : MIN_LOAD_MS);
         return new FleetScenario(
-                seed, toleratedFailures, cores, proxies, servers, lateness, steps(random), faults(random));
+                seed,
+                toleratedFailures,
+                cores,
+                proxies,
+                servers,
+                lateness,
+                maxLoadMs,
+                steps(random, focus),
+                faults(random));
     }
 
-    private static List<OperatorStep> steps(SplittableRandom random) {
+    private static List<OperatorStep> steps(SplittableRandom random, Focus focus) {
         List<OperatorStep> steps = new ArrayList<>();
         steps.add(new OperatorStep(1_500, Action.CHANGE_CONFIGURATION));
         int meanIntervalMs = 200 + random.nextInt(800);
-        for (long atMs = FIRST_STEP_MS; atMs < END_OF_FAULTS_MS; atMs += 1 + random.nextInt(2 * meanIntervalMs)) {
-            int choice = random.nextInt(20);
-            Action action = choice < 6
+        for (long atMs = FIRST_STEP_MS; atMs < LAST_STEP_MS; atMs += 1 + random.nextInt(2 * meanIntervalMs)) {
+            Action action = random.nextInt(3) == 0 ? action(random, focus) : action(random, Focus.MIXED);
+            steps.add(new OperatorStep(atMs, action));
+        }
+        return steps;
+    }
+
+    private static Action action(SplittableRandom random, Focus focus) {
+        int choice = random.nextInt(10);
+        return switch (focus) {
+            case ROLLOUT -> choice < 7 ? Action.NAME_WEIGHTS : Action.READ;
+            case DRAINING -> choice < 7 ? Action.DRAIN_SERVER : Action.DEREGISTER_SERVER;
+            case CONFIGURATION -> choice < 7 ? Action.CHANGE_CONFIGURATION : Action.RACE;
+            default -> choice < 3
                     ? Action.CHANGE_CONFIGURATION
-                    : choice < 8
+                    : choice < 4
                             ? Action.RACE
-                            : choice < 10
+                            : choice < 5
                                     ? Action.NAME_WEIGHTS
-                                    : choice < 16
+                                    : choice < 8
                                             ? Action.READ
-                                            : choice < 19 ? Action.DRAIN_SERVER : Action.DEREGISTER_SERVER;
-            steps.add(new OperatorStep(atMs, action));
-        }
-        return steps;
+                                            : choice < 9 ? Action.DRAIN_SERVER : Action.DEREGISTER_SERVER;
+        };
     }
 
     /** Few faults, most of them aimed at a step of the protocol, some close together. */
@@ -103,21 +136,39 @@
 
     FleetScenario withFaults(List<FleetFault> fewer) {
         return new FleetScenario(
-                seed, toleratedFailures, cores, proxies, servers, maxTickLatenessMs, steps, List.copyOf(fewer));
+                seed,
+                toleratedFailures,
+                cores,
+                proxies,
+                servers,
+                maxTickLatenessMs,
+                maxLoadMs,
+                steps,
+                List.copyOf(fewer));
     }
 
     FleetScenario withSteps(List<OperatorStep> fewer) {
         return new FleetScenario(
-                seed, toleratedFailures, cores, proxies, servers, maxTickLatenessMs, List.copyOf(fewer), faults);
+                seed,
+                toleratedFailures,
+                cores,
+                proxies,
+                servers,
+                maxTickLatenessMs,
+                maxLoadMs,
+                List.copyOf(fewer),
+                faults);
     }
 
     FleetScenario withLateness(List<Integer> other) {
-        return new FleetScenario(seed, toleratedFailures, cores, proxies, servers, List.copyOf(other), steps, faults);
+        return new FleetScenario(
+                seed, toleratedFailures, cores, proxies, servers, List.copyOf(other), maxLoadMs, steps, faults);
     }
 
     String describe() {
         return "seed " + seed + ", f " + toleratedFailures + ", " + cores + " cores, " + proxies + " proxies, "
-                + servers + " servers, timers late by up to " + maxTickLatenessMs + " ms, steps " + steps + ", faults "
+                + servers + " servers that load in up to " + maxLoadMs + " ms, timers late by up to "
+                + maxTickLatenessMs + " ms, steps " + steps + ", faults "
                 + faults;
     }
 }
--- a/src/test/java/quartzspan/simulation/FleetSimulation.java
+++ b/src/test/java/quartzspan/simulation/FleetSimulation.java
@@ -11,7 +11,7 @@
 /** Plays one scenario in the simulated world; throws {@link FleetViolation} if a rule is broken. */
 final class FleetSimulation {
     /** After the last fault, this long until the fleet must take changes and serve requests. */
-    private static final long RECOVERY_MS = 12_000;
+    private static final long RECOVERY_MS = 9_000;
 
     private static final long FINAL_CHECK_MS = 4_000;
     private static final long SERVER_RESTART_MS = 1_000;
--- a/src/test/java/quartzspan/simulation/FleetSimulationTest.java
+++ b/src/test/java/quartzspan/simulation/FleetSimulationTest.java
@@ -3,6 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -11,6 +13,18 @@
 class FleetSimulationTest {
     private static final int HISTORIES = Integer.getInteger("fleet.histories", 3_000);
 
+    private QuietLogs quietLogs;
+
+    @BeforeEach
+    void silence() {
+        quietLogs = new QuietLogs();
+    }
+
+    @AfterEach
+    void restoreLogs() {
+        quietLogs.close();
+    }
+
     @Test
     void noRuleIsBrokenInAnyScenario() {
         FleetHistories histories = new FleetHistories();
--- a/src/test/java/quartzspan/simulation/FleetWorld.java
+++ b/src/test/java/quartzspan/simulation/FleetWorld.java
@@ -20,6 +20,7 @@
     private final World world;
     private final FleetRules rules;
     private final int toleratedFailures;
+    private final int maxLoadMs;
     private final List<String> seeds = new ArrayList<>();
     private final Map<String, SimulatedCore> cores = new LinkedHashMap<>();
     private final List<SimulatedProxy> proxies = new ArrayList<>();
@@ -33,6 +34,7 @@
         this.world = new World(scenario.seed(), tracing);
         this.rules = new FleetRules(world);
         this.toleratedFailures = scenario.toleratedFailures();
+        this.maxLoadMs = scenario.maxLoadMs();
         for (int i = 1; i <= scenario.cores(); i++) {
             seeds.add("10.0.0." + i + ":1");
         }
@@ -55,6 +57,11 @@
         return world;
     }
 
+    /** How long a server may take to load weights. */
+    int maxLoadMs() {
+        return maxLoadMs;
+    }
+
     FleetRules rules() {
         return rules;
     }
--- a/src/test/java/quartzspan/simulation/SimulatedProcess.java
+++ b/src/test/java/quartzspan/simulation/SimulatedProcess.java
@@ -103,20 +103,31 @@
         });
     }
 
+    /** The machine freezes. */
     public final void freeze() {
-        freezes++;
         world.troubles().begin(world.nowMs(), name);
-        world.trace(() -> name + " freezes");
+        pause();
     }
 
-    /** Continues the process. What has arrived meanwhile is processed in order of its source, but the sources in any order. */
+    /** The machine thaws. */
     public final void thaw() {
-        freezes--;
         world.troubles().end(world.nowMs(), name);
+        resume();
+    }
+
+    /** The process runs nothing until it is resumed. */
+    public final void pause() {
+        freezes++;
+        world.trace(() -> name + " pauses");
+    }
+
+    /** Continues the process. What has arrived meanwhile is processed in order of its source, but the sources in any order. */
+    public final void resume() {
+        freezes--;
         if (freezes > 0) {
             return;
         }
-        world.trace(() -> name + " thaws");
+        world.trace(() -> name + " resumes");
         List<DeferredEvent> events = new ArrayList<>(deferredEvents);
         deferredEvents.clear();
         Map<String, Long> order = new HashMap<>();
--- a/src/test/java/quartzspan/simulation/SimulatedServer.java
+++ b/src/test/java/quartzspan/simulation/SimulatedServer.java
@@ -16,7 +16,6 @@
     private static final int MIN_RUN_MS = 20;
     private static final int MAX_RUN_MS = 900;
     private static final int MIN_LOAD_MS = 300;
-    private static final int MAX_LOAD_MS = 2_000;
     /** A heartbeat that is not acknowledged in this time goes to the next core machine. */
     private static final long ACKNOWLEDGEMENT_TIMEOUT_MS = 1_000;
 
@@ -169,7 +168,7 @@
     private void loadWhenIdle() {
         if (loading > 0 && running == 0 && !ended) {
             long target = loading;
-            int durationMs = MIN_LOAD_MS + world.random().nextInt(MAX_LOAD_MS - MIN_LOAD_MS);
+            int durationMs = MIN_LOAD_MS + world.random().nextInt(fleet.maxLoadMs());
             world.schedule(durationMs, () -> {
                 weights = target;
                 loading = 0;
