--- a/src/test/java/quartzspan/replication/ReplicaGuardsTest.java
+++ b/src/test/java/quartzspan/replication/ReplicaGuardsTest.java
@@ -561,4 +561,35 @@
         assertTrue(replica.isPrimary());
         assertEquals(1, replica.membership().epoch().number());
     }
+
+    @Test
+    void voteReportsOnlyADurableMembership() {
+        start(B, true);
+        nowMs += 5_000;
+        requestVote(C, 4);
+        sync();
+        Epoch accepted = last(Kind.VOTE_REPLY).epoch();
+        replica.onMessage(
+                nowMs, C, ReplicaMessage.of(Kind.ACCEPT, accepted).withMembership(membership(accepted, C, B)));
+        requestVote(C, 4);
+        assertEquals(Epoch.INITIAL, last(Kind.VOTE_REPLY).membership().epoch(), "the accepted one is not durable");
+        sync();
+        requestVote(C, 4);
+        assertEquals(accepted, last(Kind.VOTE_REPLY).membership().epoch());
+    }
+
+    @Test
+    void candidateAsksForVotesOnlyOnceItsOwnVoteIsDurable() {
+        start(A, true);
+        tickUntil(Kind.PRE_VOTE);
+        replica.onMessage(
+                nowMs,
+                B,
+                ReplicaMessage.of(Kind.PRE_VOTE_REPLY, last(Kind.PRE_VOTE).epoch())
+                        .withGranted(true)
+                        .withMembership(replica.membership()));
+        assertEquals(null, last(Kind.VOTE));
+        sync();
+        assertEquals(1, last(Kind.VOTE).epoch().number());
+    }
 }
--- a/src/test/java/quartzspan/simulation/EventQueue.java
+++ b/src/test/java/quartzspan/simulation/EventQueue.java
@@ -19,10 +19,12 @@
         return nowMs;
     }
 
+    /** Adds an event after a delay in milliseconds; a negative delay counts as none. */
     public void schedule(long delayMs, Runnable action) {
         events.add(new Event(nowMs + Math.max(0, delayMs), ++nextOrder, action));
     }
 
+    /** Runs all events up to a time, which is the current one then. */
     public void runUntil(long timeMs) {
         while (!events.isEmpty() && events.peek().atMs <= timeMs) {
             Event event = events.poll();
--- a/src/test/java/quartzspan/simulation/FleetFault.java
+++ b/src/test/java/quartzspan/simulation/FleetFault.java
@@ -18,6 +18,7 @@
         int target,
         long durationMs,
         double strength) {
+    /** What goes wrong. */
     enum Kind {
         KILL_CORE,
         KILL_ALL_CORES,
--- a/src/test/java/quartzspan/simulation/FleetFaults.java
+++ b/src/test/java/quartzspan/simulation/FleetFaults.java
@@ -101,6 +101,7 @@
                 world.setDuplication((int) (fault.strength() * MAX_LOSS_PER_MILLE));
                 world.schedule(fault.durationMs(), () -> world.setDuplication(0));
             }
+            default -> throw new IllegalStateException("unknown fault " + fault.kind());
         }
     }
 
--- a/src/test/java/quartzspan/simulation/FleetScenario.java
+++ b/src/test/java/quartzspan/simulation/FleetScenario.java
@@ -43,6 +43,7 @@
         DEREGISTER_SERVER
     }
 
+    /** A step at a time. */
     record OperatorStep(long atMs, Action action) {}
 
     /** What the steps of a scenario are mostly about. */
--- a/src/test/java/quartzspan/simulation/SimulatedProcess.java
+++ b/src/test/java/quartzspan/simulation/SimulatedProcess.java
@@ -76,6 +76,7 @@
         scheduleTick();
     }
 
+    /** Ends the process at once. */
     public final void kill() {
         if (running) {
             running = false;
