HTTP: a request that needs a connection of its own closes an idle one at the connection limit

Cause: a server's connection limit counts idle connections, and a request that must not reuse one (an order, a repeated send) was ended as not sent once idle connections filled the limit.

--- a/src/main/java/quartzspan/controlplane/ServerClient.java
+++ b/src/main/java/quartzspan/controlplane/ServerClient.java
@@ -24,7 +24,8 @@
 final class ServerClient implements ServerCalls {
     private static final Logger LOG = LoggerFactory.getLogger(ServerClient.class);
     private static final long CALL_TIMEOUT_MS = 2_000;
-    private static final int CONNECTIONS_PER_SERVER = 4;
+    /** Connections to one server, in use or idle. */
+    static final int CONNECTIONS_PER_SERVER = 4;
     /** A list of all blocks that a server has cached is the largest response. */
     private static final int MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
 
--- a/src/main/java/quartzspan/http/ConnectionPool.java
+++ b/src/main/java/quartzspan/http/ConnectionPool.java
@@ -319,6 +319,14 @@
         return null;
     }
 
+    /** Closes the least recently used idle connection to an endpoint if its connection limit rules out a new one. */
+    private static void makeRoomForNewConnection(Endpoint endpoint) {
+        Connection oldest = endpoint.idleConnections.peekLast();
+        if (oldest != null && endpoint.connectionCount >= endpoint.maxConnections) {
+            oldest.close();
+        }
+    }
+
     /** One attempt to send a request to one endpoint, until its outcome is known. */
     public final class Attempt {
         private final Endpoint endpoint;
@@ -362,6 +370,9 @@
         /** Starts with a connection of the given kind; the listener may be called before this returns. */
         public void start(Reuse reuse) {
             cautious = reuse == Reuse.RECENT;
+            if (reuse == Reuse.NONE) {
+                makeRoomForNewConnection(endpoint);
+            }
             Connection reused = acquireIdle(endpoint, reuse);
             if (reused != null) {
                 idleNanos = System.nanoTime() - reused.idleSinceNanos;
--- a/src/test/java/quartzspan/controlplane/ServerClientTest.java
+++ b/src/test/java/quartzspan/controlplane/ServerClientTest.java
@@ -179,6 +179,11 @@
             executor.execute(this::accept);
         }
 
+        /** The number of the connection that the last request arrived on. */
+        int lastUsed() {
+            return connections.get(connections.size() - 1);
+        }
+
         private void accept() {
             try {
                 for (int number = 0; !serverSocket.isClosed(); number++) {
@@ -210,10 +215,14 @@
         }
     }
 
-    private byte[] get(String path) throws Exception {
+    private CompletableFuture<byte[]> startGet(String path) {
         CompletableFuture<byte[]> result = new CompletableFuture<>();
         loop.execute(() -> client.get(server, path, Map.of(), (status, body) -> result.complete(body)));
-        return result.get(TIMEOUT_S, TimeUnit.SECONDS);
+        return result;
+    }
+
+    private byte[] get(String path) throws Exception {
+        return startGet(path).get(TIMEOUT_S, TimeUnit.SECONDS);
     }
 
     @Test
@@ -223,13 +232,31 @@
             do {
                 seen.addAll(keepAlive.connections);
                 get("/quartzspan/report");
-            } while (!seen.contains(keepAlive.connections.get(keepAlive.connections.size() - 1)));
+            } while (!seen.contains(keepAlive.lastUsed()));
             assertEquals(200, post(() -> true).get(TIMEOUT_S, TimeUnit.SECONDS));
-            int ordered = keepAlive.connections.get(keepAlive.connections.size() - 1);
+            int ordered = keepAlive.lastUsed();
             assertFalse(seen.contains(ordered), "connection " + ordered + " of " + seen);
         }
     }
 
+    /** Idle connections to a server count towards its connection limit, but don't keep an order from being sent. */
+    @Test
+    void orderIsSentThoughIdleConnectionsFillTheLimit() throws Exception {
+        try (KeepAliveServer keepAlive = new KeepAliveServer("{}")) {
+            List<CompletableFuture<byte[]>> reports = new ArrayList<>();
+            for (int i = 0; i < ServerClient.CONNECTIONS_PER_SERVER; i++) {
+                reports.add(startGet("/quartzspan/report"));
+            }
+            for (CompletableFuture<byte[]> report : reports) {
+                report.get(TIMEOUT_S, TimeUnit.SECONDS);
+            }
+            Set<Integer> pooled = new HashSet<>(keepAlive.connections);
+            assertEquals(ServerClient.CONNECTIONS_PER_SERVER, pooled.size());
+            assertEquals(200, post(() -> true).get(TIMEOUT_S, TimeUnit.SECONDS));
+            assertFalse(pooled.contains(keepAlive.lastUsed()));
+        }
+    }
+
     @Test
     void longListOfCachedBlocksIsReadWhole() throws Exception {
         String list = "x".repeat(300 * 1024);
