--- a/src/test/java/quartzspan/replication/ReplicaStoreTest.java
+++ b/src/test/java/quartzspan/replication/ReplicaStoreTest.java
@@ -137,15 +137,24 @@
         assertEquals(List.of("V1", "C1", "D1", "Dxx"), shortened(reopen()));
     }
 
-    @Test
-    void discardedStoreIsEmptyAndCanBeWritten() {
+    private void writeAndDiscard() {
         store.persist(voter("1"));
         store.persist(snapshot("1"));
         store.persist(entries("1"));
         assertFalse(store.discarded());
         store.discard();
         assertTrue(store.discarded());
+    }
+
+    @Test
+    void discardedStoreIsEmpty() {
+        writeAndDiscard();
         assertEquals(List.of(), reopen());
+    }
+
+    @Test
+    void discardedStoreCanBeWritten() {
+        writeAndDiscard();
         assertTrue(store.persist(entries("2")));
         assertEquals(List.of("D2"), reopen());
     }
