--- a/src/test/java/quartzspan/replication/ReconfigurationPolicyTest.java
+++ b/src/test/java/quartzspan/replication/ReconfigurationPolicyTest.java
@@ -8,7 +8,6 @@
 import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import quartzspan.common.FleetException;
 
 /** When a primary changes its membership: for failing data replicas, for failed voters, and for a spare voter. */
 class ReconfigurationPolicyTest {
@@ -16,25 +15,11 @@
             new Membership(new Epoch(3, "a", 1), "a", List.of("a", "b"), List.of("a", "b", "c"), List.of());
     private static final long STANDBY_REQUEST_MS = 250;
 
-    private final ReplicaContext context = new ReplicaContext("a", 1, 1, 0, new NoOutput());
+    private final ReplicaContext context = new ReplicaContext("a", 1, 1, 0, new RecordingOutput());
     private final PeerLiveness peers = new PeerLiveness("a", 0);
     private final ReconfigurationPolicy policy = new ReconfigurationPolicy(context, peers);
     private long nowMs;
 
-    private static final class NoOutput implements Replica.Output {
-        @Override
-        public void send(String to, ReplicaMessage message) {}
-
-        @Override
-        public void persist(long recordNumber, byte[] record) {}
-
-        @Override
-        public void completed(long requestId, FleetException rejection, ControlState state) {}
-
-        @Override
-        public void committed(long index, ControlState state, ChangeHistory history) {}
-    }
-
     /** A standby "s" has been heard for long enough to become a spare voter. */
     @BeforeEach
     void standByUntilPromotion() {
