Tests: the guards' tests use the recorder of outputs that the role tests use

No case is lost: a failed write now fails all that are pending (one in each of these cases), a single voter's messages are asserted to be none at the end, and the receivers of FETCH are compared whole.

--- a/src/test/java/quartzspan/replication/RecordingOutput.java
+++ b/src/test/java/quartzspan/replication/RecordingOutput.java
@@ -23,6 +23,7 @@
     private final List<byte[]> records = new ArrayList<>();
     private final List<Completed> completed = new ArrayList<>();
     private final List<Committed> committed = new ArrayList<>();
+    private final List<String> results = new ArrayList<>();
 
     @Override
     public void send(String to, ReplicaMessage message) {
@@ -38,11 +39,13 @@
     @Override
     public void completed(long requestId, FleetException rejection, ControlState state) {
         completed.add(new Completed(requestId, rejection, state));
+        results.add(requestId + (rejection == null ? " accepted" : " " + rejection.code()));
     }
 
     @Override
     public void committed(long index, ControlState state, ChangeHistory history) {
         committed.add(new Committed(index, state));
+        results.add("committed " + index);
     }
 
     /** All messages since the last {@link #clearSent}. */
@@ -97,4 +100,9 @@
     List<Committed> committed() {
         return committed;
     }
+
+    /** Completed requests and commits as text, in their order. */
+    List<String> results() {
+        return results;
+    }
 }
--- a/src/test/java/quartzspan/replication/ReplicaGuardsTest.java
+++ b/src/test/java/quartzspan/replication/ReplicaGuardsTest.java
@@ -4,11 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
-import quartzspan.common.FleetException;
 import quartzspan.replication.ReplicaMessage.Kind;
 
 /** Tests each safety check of the protocol in isolation at one replica, in situations that random scenarios seldom reach. */
@@ -18,54 +16,28 @@
     private static final String C = "10.0.0.3:7";
     private static final List<String> ALL = List.of(A, B, C);
 
-    private record Sent(String to, ReplicaMessage message) {}
-
-    private final List<Sent> sent = new ArrayList<>();
-    private final List<long[]> pendingRecordNumbers = new ArrayList<>();
-    private final List<byte[]> disk = new ArrayList<>();
-    private final List<String> replies = new ArrayList<>();
+    private final RecordingOutput output = new RecordingOutput();
     private Replica replica;
     private long nowMs = 100_000;
 
     private Replica start(String self, boolean bootstrap) {
-        replica = new Replica(self, ALL, 1, bootstrap, List.copyOf(disk), 5, nowMs, new Replica.Output() {
-            @Override
-            public void send(String to, ReplicaMessage message) {
-                sent.add(new Sent(to, message));
-            }
-
-            @Override
-            public void persist(long recordNumber, byte[] record) {
-                pendingRecordNumbers.add(new long[] {recordNumber});
-                disk.add(record);
-            }
-
-            @Override
-            public void completed(long requestId, FleetException rejection, ControlState state) {
-                replies.add(requestId + (rejection == null ? " accepted" : " " + rejection.code()));
-            }
-
-            @Override
-            public void committed(long index, ControlState state, ChangeHistory history) {
-                replies.add("committed " + index);
-            }
-        });
+        replica = new Replica(self, ALL, 1, bootstrap, List.copyOf(output.records()), 5, nowMs, output);
         sync();
         return replica;
     }
 
     private void sync() {
-        while (!pendingRecordNumbers.isEmpty()) {
-            replica.onPersisted(nowMs, pendingRecordNumbers.remove(0)[0], true);
+        finishWrites(true);
+    }
+
+    private void finishWrites(boolean durable) {
+        while (!output.pendingWrites().isEmpty()) {
+            replica.onPersisted(nowMs, output.pendingWrites().remove(), durable);
         }
     }
 
     private ReplicaMessage last(Kind kind) {
-        ReplicaMessage latest = null;
-        for (Sent sentMessage : sent) {
-            latest = sentMessage.message().kind() == kind ? sentMessage.message() : latest;
-        }
-        return latest;
+        return output.last(kind);
     }
 
     private static Epoch epoch(long number, String candidate) {
@@ -156,7 +128,7 @@
         nowMs += 5_000;
         replica.onMessage(nowMs, C, ReplicaMessage.of(Kind.VOTE, epoch(4, C)));
         assertEquals(null, last(Kind.VOTE_REPLY));
-        replica.onPersisted(nowMs, pendingRecordNumbers.remove(0)[0], false);
+        finishWrites(false);
         assertFalse(last(Kind.VOTE_REPLY).granted(), "the disk write failed");
     }
 
@@ -281,8 +253,7 @@
         nowMs += 5_000;
         replica.onMessage(nowMs, A, snapshot(epoch(3, A), 9));
         assertEquals(null, last(Kind.REPLICATE_REPLY));
-        pendingRecordNumbers.forEach(record -> replica.onPersisted(nowMs, record[0], false));
-        pendingRecordNumbers.clear();
+        finishWrites(false);
         assertEquals(null, last(Kind.REPLICATE_REPLY), "the disk write failed");
         replica.onMessage(nowMs, A, snapshot(epoch(3, A), 9));
         sync();
@@ -308,9 +279,7 @@
         replica.onMessage(nowMs, B, vote(epoch, membership(newer, B, A), newer, 4));
         sync();
         assertEquals(ReplicaRole.CANDIDATE, replica.role());
-        assertTrue(sent.stream()
-                .anyMatch(sentMessage -> sentMessage.message().kind() == Kind.FETCH
-                        && sentMessage.to().equals(B)));
+        assertEquals(List.of(B), output.receivers(Kind.FETCH));
     }
 
     @Test
@@ -358,7 +327,7 @@
         replica.onMessage(nowMs, C, snapshot(joint, 4));
         replica.onMessage(nowMs, C, ReplicaMessage.of(Kind.ACCEPT, joint).withMembership(jointMembership));
         sync();
-        sent.clear();
+        output.clearSent();
         tickUntil(Kind.PRE_VOTE);
         Epoch preVoteEpoch = last(Kind.PRE_VOTE).epoch();
         ReplicaMessage granted =
@@ -509,24 +478,24 @@
                 ReplicaMessage.of(Kind.ACCEPT_REPLY, epoch).withGranted(true).withPromisedEpoch(epoch, false);
         replica.onMessage(nowMs, B, accepted);
         assertTrue(replica.isPrimary());
-        replies.clear();
+        output.results().clear();
         replica.read(nowMs, 7);
-        assertEquals(List.of(), replies, "a read needs confirmation by a majority");
+        assertEquals(List.of(), output.results(), "a read needs confirmation by a majority");
         ReplicaMessage heartbeat = last(Kind.HEARTBEAT);
         ReplicaMessage acknowledged = ReplicaMessage.of(Kind.HEARTBEAT_REPLY, epoch)
                 .withGranted(true)
                 .withPromisedEpoch(epoch, false)
                 .withLogPosition(epoch, 1);
         replica.onMessage(nowMs, C, acknowledged.withNonce(heartbeat.nonce() - 1));
-        assertEquals(List.of(), replies, "reply to a heartbeat sent before the read");
+        assertEquals(List.of(), output.results(), "reply to a heartbeat sent before the read");
         replica.onMessage(nowMs, C, acknowledged.withNonce(heartbeat.nonce()));
-        assertEquals(List.of("7 accepted"), replies);
+        assertEquals(List.of("7 accepted"), output.results());
         replica.submit(nowMs, 8, new Change(Change.Kind.REPLACE, 0, SimulatedCluster.document(5)));
         sync();
         replica.onMessage(nowMs, C, replicated.withLogPosition(epoch, 2));
-        assertEquals(1, replies.size(), "a witness does not count as a backup");
+        assertEquals(1, output.results().size(), "a witness does not count as a backup");
         replica.onMessage(nowMs, B, replicated.withLogPosition(epoch, 2));
-        assertEquals(List.of("7 accepted", "committed 2", "8 accepted"), replies);
+        assertEquals(List.of("7 accepted", "committed 2", "8 accepted"), output.results());
         nowMs += 800;
         replica.onTick(nowMs);
         assertFalse(replica.isPrimary(), "steps down after too long without a majority");
@@ -535,23 +504,7 @@
     /** With one voter its own confirmation is a majority; in a local run such a primary stepped down for lack of peer replies. */
     @Test
     void singleVoterStaysPrimary() {
-        replica = new Replica(A, List.of(A), 0, true, List.of(), 5, nowMs, new Replica.Output() {
-            @Override
-            public void send(String to, ReplicaMessage message) {
-                throw new AssertionError("unexpected message to " + to);
-            }
-
-            @Override
-            public void persist(long recordNumber, byte[] record) {
-                pendingRecordNumbers.add(new long[] {recordNumber});
-            }
-
-            @Override
-            public void completed(long requestId, FleetException rejection, ControlState state) {}
-
-            @Override
-            public void committed(long index, ControlState state, ChangeHistory history) {}
-        });
+        replica = new Replica(A, List.of(A), 0, true, List.of(), 5, nowMs, output);
         sync();
         for (int i = 0; i < 200; i++) {
             nowMs += 50;
@@ -560,6 +513,7 @@
         }
         assertTrue(replica.isPrimary());
         assertEquals(1, replica.membership().epoch().number());
+        assertEquals(List.of(), output.sent());
     }
 
     @Test
