--- a/src/test/java/quartzspan/controlplane/ServerClientTest.java
+++ b/src/test/java/quartzspan/controlplane/ServerClientTest.java
@@ -27,6 +27,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -203,8 +204,8 @@
                     connections.add(connection);
                     accepted.getOutputStream().write(response);
                 }
-            } catch (IOException closed) {
-                executor.shutdown();
+            } catch (IOException reset) {
+                // The client has reset this connection; the others are still served.
             }
         }
 
@@ -215,14 +216,17 @@
         }
     }
 
-    private CompletableFuture<byte[]> startGet(String path) {
-        CompletableFuture<byte[]> result = new CompletableFuture<>();
-        loop.execute(() -> client.get(server, path, Map.of(), (status, body) -> result.complete(body)));
-        return result;
+    /** Starts requests in one task of the event loop, so that none of them is answered before the last has started. */
+    private List<CompletableFuture<byte[]>> startGets(String path, int count) {
+        List<CompletableFuture<byte[]>> results =
+                Stream.generate(CompletableFuture<byte[]>::new).limit(count).toList();
+        loop.execute(() ->
+                results.forEach(result -> client.get(server, path, Map.of(), (status, body) -> result.complete(body))));
+        return results;
     }
 
     private byte[] get(String path) throws Exception {
-        return startGet(path).get(TIMEOUT_S, TimeUnit.SECONDS);
+        return startGets(path, 1).get(0).get(TIMEOUT_S, TimeUnit.SECONDS);
     }
 
     @Test
@@ -243,10 +247,8 @@
     @Test
     void orderIsSentThoughIdleConnectionsFillTheLimit() throws Exception {
         try (KeepAliveServer keepAlive = new KeepAliveServer("{}")) {
-            List<CompletableFuture<byte[]>> reports = new ArrayList<>();
-            for (int i = 0; i < ServerClient.CONNECTIONS_PER_SERVER; i++) {
-                reports.add(startGet("/quartzspan/report"));
-            }
+            List<CompletableFuture<byte[]>> reports =
+                    startGets("/quartzspan/report", ServerClient.CONNECTIONS_PER_SERVER);
             for (CompletableFuture<byte[]> report : reports) {
                 report.get(TIMEOUT_S, TimeUnit.SECONDS);
             }
