Cache salt: other tenants leave the shared partition when a tenant becomes isolated

Cause: all tenants that are not isolated used one salt, the weights version. A tenant that became isolated left it, its blocks stayed under it, and servers find blocks by their salt only.

Change: CachePartitions derives the shared part of the salt from the set of isolated tenants, so blocks under it were only ever made by tenants outside of that set. No state, no message and no order of events is involved. The partition is taken when a request is sent, not when it arrives, and asked for again before the bytes are written.

--- a/src/main/java/quartzspan/configuration/Configuration.java
+++ b/src/main/java/quartzspan/configuration/Configuration.java
@@ -109,6 +109,7 @@
     private SoftReference<byte[]> cachedBytes = new SoftReference<>(null);
     private final Map<String, Service> services = new LinkedHashMap<>();
     private final Map<String, Tenant> tenantsByKey = new HashMap<>();
+    private final CachePartitions cachePartitions;
     private final Limits limits;
 
     /** @param base a configuration whose parsed items are reused where the document has the same objects; may be null */
@@ -124,9 +125,13 @@
             addRoute(parse(item, "routes", baseRoutes, ConfigurationReader::route));
         }
         Map<String, Parsed<Tenant>> baseTenants = base == null ? Map.of() : base.parsedTenants;
+        List<Tenant> tenants = new ArrayList<>();
         for (JsonObject item : JsonFields.objects(document, "tenants")) {
-            addTenant(parse(item, "tenants", baseTenants, ConfigurationReader::tenant));
+            Parsed<Tenant> tenant = parse(item, "tenants", baseTenants, ConfigurationReader::tenant);
+            addTenant(tenant);
+            tenants.add(tenant.value());
         }
+        this.cachePartitions = new CachePartitions(tenants);
         this.limits = ConfigurationReader.limits(document);
         routes.forEach(this::checkServices);
     }
@@ -254,6 +259,11 @@
         return tenantsByKey.get(key);
     }
 
+    /** Which requests may share cached prompts. */
+    public CachePartitions cachePartitions() {
+        return cachePartitions;
+    }
+
     public Limits limits() {
         return limits;
     }
--- a/src/main/java/quartzspan/frontend/FleetView.java
+++ b/src/main/java/quartzspan/frontend/FleetView.java
@@ -4,6 +4,7 @@
 import java.util.function.LongSupplier;
 import quartzspan.common.Settings;
 import quartzspan.configuration.Configuration;
+import quartzspan.configuration.Configuration.Tenant;
 import quartzspan.http.ConnectionPool;
 import quartzspan.prefixcache.PrefixCacheIndex;
 import quartzspan.registry.Gossip;
@@ -94,8 +95,18 @@
         return isConfigurationFresh() && !gossip.mayBeOutdated(nowMs());
     }
 
+    /** The id of the cache partition of a tenant's requests at present; the tenant is null for requests without one. */
+    String cachePartition(Tenant tenant) {
+        return configuration().cachePartitions().idFor(tenant);
+    }
+
     /** Whether a request may be written to a server now, if the server is to have a weights version (0: any). */
     boolean maySend(String server, long weightsVersion) {
         return !gossip.mayBeOutdated(nowMs()) && endpoints.mayUse(server, weightsVersion);
     }
+
+    /** Whether a request that names a cache partition may be written now: it is still that of the request's tenant. */
+    boolean mayUsePartition(String partition, Tenant tenant) {
+        return partition.equals(cachePartition(tenant));
+    }
 }
--- a/src/main/java/quartzspan/frontend/FrontendProxy.java
+++ b/src/main/java/quartzspan/frontend/FrontendProxy.java
@@ -341,10 +341,11 @@
                 this,
                 client,
                 route,
+                tenant,
                 classifier.placementRequest(route, request, tenant),
                 RequestClassifier.outgoingRequest(configuration, request, body, route, tenant),
                 deadlineUs,
-                RequestClassifier.prompt(request, tenant));
+                RequestClassifier.prompt(request));
         inFlight.add(proxied);
         proxied.start();
     }
--- a/src/main/java/quartzspan/frontend/PrefixCacheRouting.java
+++ b/src/main/java/quartzspan/frontend/PrefixCacheRouting.java
@@ -8,8 +8,9 @@
 /**
  * Decides which cached prompt blocks a server may use for a request, and where it fetches them from.
  *
- * <p>Blocks are cached under a salt made of the weights version and the tenant's isolation key, and a server rejects a request
- * whose expected version it doesn't have. Cached blocks are therefore never used with weights other than their own.
+ * <p>Blocks are cached under a salt made of the weights version and the {@linkplain quartzspan.configuration.CachePartitions
+ * partition} of the tenant, and a server rejects a request whose expected version it doesn't have. Cached blocks are therefore never
+ * used with weights other than their own, nor by requests of another partition.
  */
 final class PrefixCacheRouting {
     /** Minimum number of tokens for which a transfer to or from a cache store is faster than computing them. */
@@ -36,16 +37,23 @@
      * Sets the cache headers of a request to a server.
      *
      * @param version the weights version that the server must have; 0 if unknown
+     * @param partition the id of the cache partition whose blocks the request may use
      * @return the hashes of the prompt's blocks at that server; empty if its weights version is unknown
      */
-    long[] setHeaders(HttpHeaders headers, String server, long version, PlacementRequest request, Prompt prompt) {
+    long[] setHeaders(
+            HttpHeaders headers,
+            String server,
+            long version,
+            String partition,
+            PlacementRequest request,
+            Prompt prompt) {
         if (version == 0) {
-            if (!prompt.isolationKey().isEmpty()) {
-                headers.set(CACHE_SALT, prompt.isolationKey());
+            if (!partition.isEmpty()) {
+                headers.set(CACHE_SALT, partition);
             }
             return NO_BLOCKS;
         }
-        String salt = VERSION_PREFIX + version + prompt.isolationKey();
+        String salt = VERSION_PREFIX + version + partition;
         headers.set(CACHE_SALT, salt).set(EXPECT_VERSION, version);
         long[] blocks = prompt.blockHashes(salt);
         setTransferHeaders(headers, server, request, prompt, version, blocks);
--- a/src/main/java/quartzspan/frontend/Prompt.java
+++ b/src/main/java/quartzspan/frontend/Prompt.java
@@ -4,17 +4,16 @@
 import quartzspan.http.HttpFraming;
 import quartzspan.prefixcache.PrefixCacheIndex;
 
-/** The blocks of a request's prompt. The isolation key separates the cached blocks of isolated tenants. */
+/** The blocks of a request's prompt. */
 final class Prompt {
     private static final long[] NO_BLOCKS = {};
 
     private final String[] blockIds;
     private final long[] blockTokens;
     private final String model;
-    private final String isolationKey;
 
     /** @param prefix comma-separated blocks of the form ID:TOKENS; null if there are none */
-    Prompt(String prefix, String model, String isolationKey) {
+    Prompt(String prefix, String model) {
         String[] blocks = prefix == null || prefix.isBlank() ? new String[0] : prefix.split(",");
         blockIds = new String[blocks.length];
         blockTokens = new long[blocks.length];
@@ -29,11 +28,6 @@
                                     blocks[i].substring(colon + 1).trim()));
         }
         this.model = model;
-        this.isolationKey = isolationKey;
-    }
-
-    String isolationKey() {
-        return isolationKey;
     }
 
     /** Number of tokens of each block. */
--- a/src/main/java/quartzspan/frontend/ProxiedRequest.java
+++ b/src/main/java/quartzspan/frontend/ProxiedRequest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Set;
 import quartzspan.configuration.Configuration.Route;
+import quartzspan.configuration.Configuration.Tenant;
 import quartzspan.http.ConnectionPool;
 import quartzspan.http.ConnectionPool.Response;
 import quartzspan.http.ConnectionPool.ResponseMatch;
@@ -46,6 +47,9 @@
     private final FrontendProxy proxy;
     private final HttpServer.ClientConnection client;
     private final Route route;
+    /** The tenant when the request arrived; null if it has none. */
+    private final Tenant tenant;
+
     private final PlacementRequest placementRequest;
     private final OutgoingRequest request;
     private final String attemptId;
@@ -75,6 +79,7 @@
             FrontendProxy proxy,
             HttpServer.ClientConnection client,
             Route route,
+            Tenant tenant,
             PlacementRequest placementRequest,
             OutgoingRequest request,
             long deadlineUs,
@@ -83,6 +88,7 @@
         this.proxy = proxy;
         this.client = client;
         this.route = route;
+        this.tenant = tenant;
         this.placementRequest = placementRequest;
         this.request = request;
         this.attemptId = request.headers().get(ATTEMPT_ID_HEADER);
@@ -107,14 +113,20 @@
         responseHead = null;
         HttpHeaders headers = new DefaultHttpHeaders().set(request.headers()).set("X-Expected-Instance", target);
         long expectedWeights = proxy.endpoints().expectedWeightsVersion(target);
-        blocks = proxy.prefixCacheRouting().setHeaders(headers, target, expectedWeights, placementRequest, prompt);
+        // The partition at the time of sending: the request may have waited while its or another tenant became
+        // isolated.
+        String cachePartition = proxy.fleet().cachePartition(tenant);
+        blocks = proxy.prefixCacheRouting()
+                .setHeaders(headers, target, expectedWeights, cachePartition, placementRequest, prompt);
         proxy.endpoints().placement().onSent(target, placementRequest);
         attempt = proxy.connectionPool()
                 .attempt(
                         endpoint,
                         new OutgoingRequest(request.method(), request.uri(), headers, request.body()),
                         remainingUs,
-                        () -> !ended && proxy.fleet().maySend(target, expectedWeights),
+                        () -> !ended
+                                && proxy.fleet().maySend(target, expectedWeights)
+                                && proxy.fleet().mayUsePartition(cachePartition, tenant),
                         this,
                         this::onAttemptEnded);
         attempt.start(connectionReuse(target));
--- a/src/main/java/quartzspan/frontend/RequestClassifier.java
+++ b/src/main/java/quartzspan/frontend/RequestClassifier.java
@@ -81,10 +81,9 @@
         return receivedAtUs + 1000 * timeoutMs;
     }
 
-    static Prompt prompt(HttpRequest request, Tenant tenant) {
+    static Prompt prompt(HttpRequest request) {
         HttpHeaders headers = request.headers();
-        String isolationKey = isIsolated(tenant) ? "w" + tenant.name() : "";
-        return new Prompt(headers.get(PROMPT_PREFIX_HEADER), headers.get(MODEL_HEADER, ""), isolationKey);
+        return new Prompt(headers.get(PROMPT_PREFIX_HEADER), headers.get(MODEL_HEADER, ""));
     }
 
     private static boolean isIsolated(Tenant tenant) {
--- a/src/test/java/quartzspan/frontend/FleetFixture.java
+++ b/src/test/java/quartzspan/frontend/FleetFixture.java
@@ -29,6 +29,7 @@
  */
 abstract class FleetFixture {
     private static final int SERVICES = 60;
+    private static final int FIRST_VERSION = 2;
     private static final int MAX_CALLS = 20_000;
     private static final String SERVER_SEAL = "X-Server-Seal: seal.1\r\n";
 
@@ -41,6 +42,7 @@
     private static int coreInternalPort;
     private static int frontendPort;
     private static int nextService;
+    private static int configurationVersion;
 
     private final List<AutoCloseable> resources = new ArrayList<>();
     /** The number of this test's service, which is part of its routes' paths. */
@@ -66,6 +68,7 @@
                         "null")),
                 "127.0.0.1:" + ports[1]);
         nextService = 0;
+        configurationVersion = FIRST_VERSION;
         callUntilStatus(
                 200, controlPort, "POST /quartzspan/Configuration.Replace", "X-Base-Version: 0\r\n", configuration());
     }
@@ -114,8 +117,8 @@
             routes.add(route("single", i, "read_only", 1));
             names.add("{\"name\":\"s" + i + "\",\"max_connections\":60}");
         }
-        return "{\"version\":2,\"routes\":[" + String.join(",", routes) + "],\"services\":[" + String.join(",", names)
-                + "]}";
+        return "{\"version\":" + FIRST_VERSION + ",\"routes\":[" + String.join(",", routes) + "],\"services\":["
+                + String.join(",", names) + "]}";
     }
 
     private static String route(String kind, int service, String type, int attempts) {
@@ -142,6 +145,21 @@
         return process;
     }
 
+    /** Adds tenants to the configuration, or replaces them by name; returns once the proxy applies the change. */
+    static void updateTenants(String tenants) throws IOException {
+        int base = configurationVersion++;
+        String applied = "applied" + configurationVersion;
+        callUntilStatus(
+                200,
+                controlPort,
+                "POST /quartzspan/Configuration.Update",
+                "X-Base-Version: " + base + "\r\n",
+                "{\"version\":" + configurationVersion + ",\"upsert\":{\"routes\":[" + route(applied, 0, "mutating", 1)
+                        + "],\"tenants\":[" + tenants + "]},\"remove\":{}}");
+        // Only a proxy that knows the route rejects a request on it for the lack of a key.
+        callUntilStatus(401, frontendPort, "POST /" + applied + "0/x", "X-Attempt-Id: a\r\n", "");
+    }
+
     private static int[] freePorts(int count) throws IOException {
         List<ServerSocket> sockets = new ArrayList<>();
         int[] ports = new int[count];
--- a/src/test/java/quartzspan/frontend/FleetViewTest.java
+++ b/src/test/java/quartzspan/frontend/FleetViewTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import quartzspan.common.Settings;
+import quartzspan.configuration.Configuration.Tenant;
 import quartzspan.http.ConnectionPool;
 import quartzspan.prefixcache.PrefixCacheIndex;
 import quartzspan.registry.Gossip;
@@ -66,6 +67,19 @@
         assertTrue(fleet.maySend("i", 0));
     }
 
+    private void publishConfiguration(long index, String tenants) {
+        byte[] configuration = ("{\"version\":" + index + ",\"routes\":[],\"services\":[{\"name\":\"s\"}],\"tenants\":["
+                        + tenants + "]}")
+                .getBytes(StandardCharsets.UTF_8);
+        coreRegistry.publish(index, ControlState.EMPTY.with(new Change(Change.Kind.REPLACE, index - 1, configuration)));
+        fleet.onTick();
+        deliverAll();
+        nowMs += 100;
+        fleet.onTick();
+        deliverAll();
+        assertEquals(index, fleet.configuration().version());
+    }
+
     @AfterEach
     void stop() {
         group.shutdownGracefully();
@@ -127,4 +141,19 @@
         assertTrue(fleet.maySend("i", 0));
         assertEquals(1, fleet.configuration().version());
     }
+
+    /** Guards against a request that waits for its connection being written under a salt that was changed meanwhile. */
+    @Test
+    void requestIsNotWrittenUnderACachePartitionThatIsNoLongerItsTenants() {
+        String first = "{\"name\":\"first\",\"api_keys\":[\"k1\"],\"isolated\":";
+        String second = "},{\"name\":\"second\",\"api_keys\":[\"k2\"]}";
+        publishConfiguration(2, first + false + second);
+        Tenant tenant = fleet.configuration().tenant("k2");
+        String partition = fleet.cachePartition(tenant);
+        assertTrue(fleet.mayUsePartition(partition, tenant));
+        publishConfiguration(3, first + true + second);
+        assertFalse(fleet.mayUsePartition(partition, tenant));
+        assertTrue(fleet.mayUsePartition(fleet.cachePartition(tenant), tenant));
+        assertTrue(fleet.mayUsePartition(fleet.cachePartition(null), null));
+    }
 }
--- a/src/test/java/quartzspan/frontend/SimulatedProxy.java
+++ b/src/test/java/quartzspan/frontend/SimulatedProxy.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import quartzspan.common.Settings;
 import quartzspan.configuration.Configuration;
+import quartzspan.configuration.Configuration.Tenant;
 import quartzspan.http.ConnectionPool;
 import quartzspan.loadbalancing.LoadBalancer.Outcome;
 import quartzspan.loadbalancing.PlacementRequest;
@@ -29,6 +30,16 @@
     /** A client's request. */
     public record Request(String id, String host, String path, String apiKey, String placementKey, long sentAtMs) {}
 
+    /**
+     * A request as it is written to a server.
+     *
+     * @param expectedVersion the weights version that the server must have; 0 for any
+     * @param cachePartition the partition whose cached blocks it may use
+     * @param configurationVersion the version of the proxy's configuration when the request was written
+     */
+    public record Forwarded(
+            Request request, String tenant, long expectedVersion, String cachePartition, long configurationVersion) {}
+
     /** The final answers of the proxy itself. */
     public enum Answer {
         NOT_READY,
@@ -41,7 +52,7 @@
     /** The world on the other side of the proxy. */
     public interface Environment {
         /** Sends a request to a server; the proxy learns the outcome by a callback on its event loop. */
-        void forward(SimulatedProxy proxy, String server, long expectedVersion, Request request, Response response);
+        void forward(SimulatedProxy proxy, String server, Forwarded forwarded, Response response);
 
         void answered(SimulatedProxy proxy, Request request, Answer answer, long configurationVersion);
     }
@@ -108,11 +119,11 @@
         } else if (configuration.tenant(request.apiKey()) == null) {
             environment.answered(this, request, Answer.UNKNOWN_KEY, configuration.version());
         } else {
-            send(request, new HashSet<>(), 0);
+            send(request, configuration.tenant(request.apiKey()), new HashSet<>(), 0);
         }
     }
 
-    private void send(Request request, Set<String> tried, int sends) {
+    private void send(Request request, Tenant tenant, Set<String> tried, int sends) {
         PlacementRequest placement = new PlacementRequest("s", request.placementKey(), 10, 1);
         String server =
                 sends >= MAX_SENDS ? null : fleet.endpoints().placement().pick(localMs() * 1_000, placement, tried);
@@ -122,20 +133,32 @@
             return;
         }
         long expected = fleet.endpoints().expectedWeightsVersion(server);
+        String partition = fleet.cachePartition(tenant);
         fleet.endpoints().placement().onSent(server, placement);
         boolean slow = world.random().nextInt(100) < SLOW_CONNECT_PERCENT;
         world.schedule(
                 slow ? world.random().nextInt(MAX_CONNECT_MS) : 1,
-                () -> dispatch(server, now -> write(request, placement, server, expected, tried, sends)));
+                () -> dispatch(
+                        server, now -> write(request, tenant, placement, server, expected, partition, tried, sends)));
     }
 
     /** Writes the request, once the connection is established, as {@link ConnectionPool.Attempt} does. */
     private void write(
-            Request request, PlacementRequest placement, String server, long expected, Set<String> tried, int sends) {
+            Request request,
+            Tenant tenant,
+            PlacementRequest placement,
+            String server,
+            long expected,
+            String partition,
+            Set<String> tried,
+            int sends) {
         tried.add(server);
-        if (fleet.endpoints().endpoint(server) == null || !fleet.maySend(server, expected)) {
+        boolean mayWrite = fleet.endpoints().endpoint(server) != null
+                && fleet.maySend(server, expected)
+                && fleet.mayUsePartition(partition, tenant);
+        if (!mayWrite) {
             fleet.endpoints().placement().onEnded(localMs() * 1_000, server, placement, Outcome.IGNORED);
-            send(request, tried, sends);
+            send(request, tenant, tried, sends);
             return;
         }
         environment.answered(
@@ -143,8 +166,12 @@
         environment.forward(
                 this,
                 server,
-                expected,
-                request,
+                new Forwarded(
+                        request,
+                        tenant.name(),
+                        expected,
+                        partition,
+                        fleet.configuration().version()),
                 (executed, versionMismatch) -> dispatch(server, now -> {
                     Outcome outcome = executed ? Outcome.OK : Outcome.QUEUE_FULL;
                     fleet.endpoints().placement().onEnded(localMs() * 1_000, server, placement, outcome);
@@ -154,7 +181,7 @@
                     if (versionMismatch && fleet.endpoints().onVersionMismatch(server)) {
                         tried.remove(server);
                     }
-                    send(request, tried, sends + 1);
+                    send(request, tenant, tried, sends + 1);
                 }));
     }
 }
--- a/src/test/java/quartzspan/simulation/FleetClients.java
+++ b/src/test/java/quartzspan/simulation/FleetClients.java
@@ -9,6 +9,8 @@
 final class FleetClients {
     private static final int INTERVAL_MS = 25;
     private static final int PLACEMENT_KEYS = 40;
+    /** One in so many requests is the second tenant's. */
+    private static final int OTHER_TENANT_EVERY = 4;
 
     private final FleetWorld fleet;
     private final FleetOperator operator;
@@ -43,6 +45,9 @@
     }
 
     private String apiKey() {
+        if (sent % OTHER_TENANT_EVERY == 0) {
+            return FleetOperator.OTHER_TENANT_KEY;
+        }
         List<String> keys = operator.keys();
         return keys.isEmpty() || world.random().nextInt(3) == 0
                 ? FleetOperator.STABLE_KEY
--- a/src/test/java/quartzspan/simulation/FleetOperator.java
+++ b/src/test/java/quartzspan/simulation/FleetOperator.java
@@ -14,6 +14,14 @@
     private static final int MAX_REDIRECTS = 2;
     /** The key that no version removes. */
     static final String STABLE_KEY = "stable";
+    /** The key of the second tenant. */
+    static final String OTHER_TENANT_KEY = "other";
+    /** Every so many versions a tenant is isolated; coprime, so that all combinations occur. */
+    private static final int FIRST_ISOLATED_EVERY = 2;
+
+    private static final int SECOND_ISOLATED_EVERY = 3;
+    private static final String FIRST_TENANT = "t";
+    private static final String SECOND_TENANT = "u";
 
     private final FleetWorld fleet;
     private final World world;
@@ -60,14 +68,29 @@
         });
     }
 
+    static String tenant(String apiKey) {
+        return apiKey.equals(OTHER_TENANT_KEY) ? SECOND_TENANT : FIRST_TENANT;
+    }
+
+    /** Whether a version of the configuration isolates a tenant. */
+    static boolean isIsolated(String tenant, long version) {
+        return version % (tenant.equals(FIRST_TENANT) ? FIRST_ISOLATED_EVERY : SECOND_ISOLATED_EVERY) == 0;
+    }
+
     private static byte[] configuration(long version, String key) {
         return ("{\"version\":" + version + ",\"routes\":[{\"name\":\"r\",\"hostname\":\"h.example\","
                         + "\"path_prefix\":\"/a/\",\"route_type\":\"streaming\",\"timeout_ms\":3000,\"service\":\"s\"}],"
-                        + "\"services\":[{\"name\":\"s\",\"max_connections\":100}],\"tenants\":[{\"name\":\"t\","
-                        + "\"api_keys\":[\"" + STABLE_KEY + "\",\"" + key + "\"]}]}")
+                        + "\"services\":[{\"name\":\"s\",\"max_connections\":100}],\"tenants\":["
+                        + tenant(FIRST_TENANT, version, "\"" + STABLE_KEY + "\",\"" + key + "\"") + ','
+                        + tenant(SECOND_TENANT, version, "\"" + OTHER_TENANT_KEY + "\"") + "]}")
                 .getBytes(StandardCharsets.UTF_8);
     }
 
+    private static String tenant(String name, long version, String apiKeys) {
+        return "{\"name\":\"" + name + "\",\"api_keys\":[" + apiKeys + "],\"isolated\":" + isIsolated(name, version)
+                + "}";
+    }
+
     /** Names the next version of the weights. */
     void nameWeights() {
         long version = ++lastWeights;
--- a/src/test/java/quartzspan/simulation/FleetRules.java
+++ b/src/test/java/quartzspan/simulation/FleetRules.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.NavigableMap;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Supplier;
 import quartzspan.frontend.SimulatedProxy;
@@ -153,6 +154,23 @@
                         + (world.nowMs() - last.atMs()) + " ms");
     }
 
+    /**
+     * A request uses cached blocks.
+     *
+     * @param makers the tenants whose requests have made the blocks
+     */
+    void onMemoryUse(String server, Set<String> makers, SimulatedProxy.Forwarded forwarded) {
+        String user = forwarded.tenant();
+        long version = forwarded.configurationVersion();
+        for (String maker : makers) {
+            boolean isolated = FleetOperator.isIsolated(user, version) || FleetOperator.isIsolated(maker, version);
+            require(
+                    maker.equals(user) || !isolated,
+                    Rule.WALL,
+                    () -> forwarded + " uses blocks of " + maker + " at " + server);
+        }
+    }
+
     long executions() {
         return executions;
     }
--- a/src/test/java/quartzspan/simulation/FleetViolation.java
+++ b/src/test/java/quartzspan/simulation/FleetViolation.java
@@ -14,7 +14,8 @@
         CONFIG_READ,
         CONFIG_RACE,
         LOST,
-        RECOVER
+        RECOVER,
+        WALL
     }
 
     private final Rule rule;
--- a/src/test/java/quartzspan/simulation/FleetWorld.java
+++ b/src/test/java/quartzspan/simulation/FleetWorld.java
@@ -163,14 +163,13 @@
         public void forward(
                 SimulatedProxy proxy,
                 String server,
-                long expectedVersion,
-                SimulatedProxy.Request request,
+                SimulatedProxy.Forwarded forwarded,
                 SimulatedProxy.Response response) {
             long sentAtMs = world.nowMs();
             world.schedule(1 + world.random().nextInt(2), () -> {
                 SimulatedServer target = servers.get(server);
                 if (target != null) {
-                    target.onRequest(proxy.name(), sentAtMs, expectedVersion, request, response);
+                    target.onRequest(proxy.name(), sentAtMs, forwarded, response);
                 }
             });
         }
--- a/src/test/java/quartzspan/simulation/SimulatedServer.java
+++ b/src/test/java/quartzspan/simulation/SimulatedServer.java
@@ -2,6 +2,10 @@
 
 import jakarta.json.JsonObject;
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.atomic.AtomicBoolean;
 import quartzspan.configuration.JsonFields;
 import quartzspan.controlplane.SimulatedCore;
@@ -29,6 +33,9 @@
     private final World world;
     private final String id;
     private final String address;
+    /** For each salt, the tenants whose requests have made blocks under it. */
+    private final Map<String, Set<String>> blockMakersBySalt = new HashMap<>();
+
     private long weights;
     private long loading;
     private long heartbeatCount;
@@ -171,6 +178,7 @@
             int durationMs = MIN_LOAD_MS + world.random().nextInt(fleet.maxLoadMs());
             world.schedule(durationMs, () -> {
                 weights = target;
+                blockMakersBySalt.clear();
                 loading = 0;
                 world.trace(() -> id + " has version " + target);
             });
@@ -182,30 +190,36 @@
                 .getBytes(StandardCharsets.UTF_8);
     }
 
+    /** Uses the cached blocks under the request's salt, and adds its own. */
+    private void useMemory(SimulatedProxy.Forwarded forwarded) {
+        Set<String> makers = blockMakersBySalt.computeIfAbsent(
+                forwarded.expectedVersion() + forwarded.cachePartition(), salt -> new TreeSet<>());
+        fleet.rules().onMemoryUse(id, makers, forwarded);
+        makers.add(forwarded.tenant());
+    }
+
     /** A request arrives from a proxy. */
     void onRequest(
-            String proxy,
-            long sentByProxyAtMs,
-            long expected,
-            SimulatedProxy.Request request,
-            SimulatedProxy.Response response) {
+            String proxy, long sentByProxyAtMs, SimulatedProxy.Forwarded forwarded, SimulatedProxy.Response response) {
         if (ended) {
             return;
         }
-        fleet.rules().onArrival(id, drainAcknowledgedAtMs, proxy, sentByProxyAtMs, request);
+        fleet.rules().onArrival(id, drainAcknowledgedAtMs, proxy, sentByProxyAtMs, forwarded.request());
+        long expected = forwarded.expectedVersion();
         if (expected > 0 && expected != weights) {
             response.onResponse(false, true);
         } else if (loading > 0 || running >= CAPACITY) {
             response.onResponse(false, false);
         } else {
-            run(proxy, sentByProxyAtMs, request, response);
+            run(proxy, sentByProxyAtMs, forwarded, response);
         }
     }
 
     private void run(
-            String proxy, long sentByProxyAtMs, SimulatedProxy.Request request, SimulatedProxy.Response response) {
+            String proxy, long sentByProxyAtMs, SimulatedProxy.Forwarded forwarded, SimulatedProxy.Response response) {
         running++;
-        fleet.rules().onExecution(id, weights, proxy, sentByProxyAtMs, request);
+        fleet.rules().onExecution(id, weights, proxy, sentByProxyAtMs, forwarded.request());
+        useMemory(forwarded);
         world.schedule(MIN_RUN_MS + world.random().nextInt(MAX_RUN_MS), () -> {
             if (!ended) {
                 running--;
