--- a/src/test/java/quartzspan/frontend/FleetViewTest.java
+++ b/src/test/java/quartzspan/frontend/FleetViewTest.java
@@ -33,6 +33,8 @@
     private static final long REVOCATION_MS = 5_000;
     private static final long MARGIN_MS = 700;
     private static final long STALL_MS = 1_500;
+    private static final long TICK_MS = 100;
+    private static final int MAX_TICKS = 30;
 
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private long nowMs = 1_000;
@@ -71,12 +73,13 @@
         byte[] configuration = ("{\"version\":" + index + ",\"routes\":[],\"services\":[{\"name\":\"s\"}],\"tenants\":["
                         + tenants + "]}")
                 .getBytes(StandardCharsets.UTF_8);
-        coreRegistry.publish(index, ControlState.EMPTY.with(new Change(Change.Kind.REPLACE, index - 1, configuration)));
-        fleet.onTick();
-        deliverAll();
-        nowMs += 100;
-        fleet.onTick();
-        deliverAll();
+        coreRegistry.publish(index, ControlState.EMPTY.with(new Change(Change.Kind.REPLACE, 0, configuration)));
+        for (int tick = 0; tick < MAX_TICKS && fleet.configuration().version() < index; tick++) {
+            nowMs += TICK_MS;
+            coreRegistry.confirmFresh(nowMs);
+            fleet.onTick();
+            deliverAll();
+        }
         assertEquals(index, fleet.configuration().version());
     }
 
