Proxy: a request may have been executed from the last byte of its head on, not of its body

A 503, the promise that it has not run, where a server had read its head and begun.

Cause: the pool inferred from an incomplete write that a server had not begun; four places did (the write's listener, a lost connection, the timeout, ProxiedRequest by the outcome). Servers may answer before they read a long body.

Change: RequestProgress decides in the pool, by the bytes that the socket took against the size of the head and by whether a response has begun; ResendDecision decides in the proxy. A failed write leaves the input open, so a response that has arrived is read before the end of the connection is judged. The body is no longer copied for the write. The retry budget is asked only if the request would be sent again.

--- a/src/main/java/quartzspan/frontend/ProxiedRequest.java
+++ b/src/main/java/quartzspan/frontend/ProxiedRequest.java
@@ -22,8 +22,8 @@
 import quartzspan.loadbalancing.PlacementRequest;
 
 /**
- * A client request in flight. It is forwarded to a server, and retried at another one only if it was certainly not executed or
- * may be executed more than once; the response is forwarded to the client.
+ * A client request in flight. It is forwarded to a server, and to another one as {@link ResendDecision} decides; the response is
+ * forwarded to the client.
  */
 final class ProxiedRequest implements ConnectionPool.ResponseHandler {
     private static final String ATTEMPT_ID_HEADER = "X-Attempt-Id";
@@ -55,6 +55,7 @@
     private final String attemptId;
     private final long deadlineUs;
     private final Prompt prompt;
+    private final ResendDecision resendDecision;
     /** Hashes of the prompt's blocks at the server of the current attempt. */
     private long[] blocks = {};
 
@@ -66,7 +67,6 @@
     private String nextServer;
 
     private int sendCount;
-    private boolean mayHaveExecuted;
     private boolean responseStarted;
     private boolean ended;
     /** The server of the current attempt. */
@@ -91,6 +91,7 @@
         this.tenant = tenant;
         this.placementRequest = placementRequest;
         this.request = request;
+        this.resendDecision = new ResendDecision(route.repeatable());
         this.attemptId = request.headers().get(ATTEMPT_ID_HEADER);
         this.deadlineUs = deadlineUs - DEADLINE_MARGIN_US;
     }
@@ -106,7 +107,7 @@
         ConnectionPool.Endpoint endpoint =
                 target == null ? null : proxy.endpoints().endpoint(target);
         if (endpoint == null) {
-            respondWithError();
+            act(resendDecision.withoutAttempt(), null);
             return;
         }
         server = target;
@@ -245,80 +246,74 @@
             return;
         }
         if (responseStarted) {
-            ended = true;
-            if (outcome == Outcome.OK) {
-                client.finishResponse();
-            } else {
-                client.abort();
-            }
-            proxy.onRequestEnded(this);
+            act(ResendDecision.afterPassingOn(outcome), null);
             return;
         }
-        triedServers.add(server);
         boolean received = outcome != Outcome.CONNECT_ERROR && outcome != Outcome.IGNORED;
+        triedServers.add(server);
         if (received) {
             reachedServers.add(server);
             sendCount++;
         }
-        mayHaveExecuted |= !outcome.neverRan();
         if (stale && sendCount < MAX_SENDS) {
             nextServer = server;
         }
-        if (responseHead != null && responseHead.status().code() == 421) {
-            if (server.equals(responseHead.headers().get("X-Instance-Id"))) {
-                // The same server has only changed its weights: a resend to it doesn't count as another attempt.
-                boolean mayResend = proxy.endpoints().onVersionMismatch(server);
-                nextServer = mayResend && sendCount < MAX_SENDS ? server : null;
-            } else {
-                proxy.endpoints().placement().onMisdirected(proxy.now(), server);
-            }
+        onMisdirectedResponse();
+        HttpResponseStatus failure = response == null ? null : responseHead.status();
+        act(resendDecision.afterAttempt(outcome, failure, () -> isResendAvailable(received)), response);
+    }
+
+    /** A 421 of the chosen server itself says that it has other weights; one of another server, that the address was reused. */
+    private void onMisdirectedResponse() {
+        if (responseHead == null || responseHead.status().code() != HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
+            return;
         }
-        boolean mayRetry = (!mayHaveExecuted || route.repeatable())
-                && (nextServer != null || reachedServers.size() < route.maxAttempts())
-                && triedServers.size() < MAX_SERVERS_TRIED
-                && (!received || proxy.retryBudget().tryAcquire());
-        if (outcome == Outcome.FAILED
-                && response != null
-                && (route.repeatable() || !impliesNotExecuted(responseHead.status()))) {
-            // The server executed the request, and this is its response.
-            respond(
-                    responseHead.status(),
-                    new Response(response.body(), null, withoutFramingHeaders(endToEndHeaders(response.headers()))),
-                    0);
-        } else if (mayRetry) {
-            sendAttempt();
+        if (server.equals(responseHead.headers().get("X-Instance-Id"))) {
+            // The same server has only changed its weights: a resend to it doesn't count as another attempt.
+            boolean mayResend = proxy.endpoints().onVersionMismatch(server);
+            nextServer = mayResend && sendCount < MAX_SENDS ? server : null;
         } else {
-            respondWithError();
+            proxy.endpoints().placement().onMisdirected(proxy.now(), server);
         }
     }
 
-    /** Statuses that clients understand as a guarantee that the request was not executed and never will be. */
-    private static boolean impliesNotExecuted(HttpResponseStatus status) {
-        return switch (status.code()) {
-            case 408, 421, 429, 503 -> true;
-            default -> false;
-        };
-    }
-
-    private static HttpHeaders withoutFramingHeaders(HttpHeaders headers) {
-        return headers.remove(HttpHeaderNames.CONTENT_LENGTH).remove(HttpHeaderNames.TRANSFER_ENCODING);
+    /** Whether the route's attempts and, after an attempt that reached a server, the retry budget allow another attempt. */
+    private boolean isResendAvailable(boolean received) {
+        return (nextServer != null || reachedServers.size() < route.maxAttempts())
+                && triedServers.size() < MAX_SERVERS_TRIED
+                && (!received || proxy.retryBudget().tryAcquire());
     }
 
-    /**
-     * Sends the final response when no server gave one: 503 with Retry-After if the request was certainly not executed; else 504
-     * or 502, which guarantee nothing about its execution.
-     */
-    private void respondWithError() {
-        if (!mayHaveExecuted) {
-            respond(HttpResponseStatus.SERVICE_UNAVAILABLE, NO_BODY, proxy.retryAfterUs(route));
-        } else {
-            respond(
+    /** @param response the server's complete response; null if there is none or it was passed on already */
+    private void act(ResendDecision.Action action, Response response) {
+        switch (action) {
+            case RESEND -> sendAttempt();
+            case COMPLETE_RESPONSE -> {
+                ended = true;
+                client.finishResponse();
+                proxy.onRequestEnded(this);
+            }
+            case TRUNCATE_RESPONSE -> {
+                ended = true;
+                client.abort();
+                proxy.onRequestEnded(this);
+            }
+            case PASS_ON_FAILURE -> respond(
+                    responseHead.status(),
+                    new Response(response.body(), null, withoutFramingHeaders(endToEndHeaders(response.headers()))),
+                    0);
+            case REJECT -> respond(HttpResponseStatus.SERVICE_UNAVAILABLE, NO_BODY, proxy.retryAfterUs(route));
+            case FAIL -> respond(
                     proxy.now() >= deadlineUs ? HttpResponseStatus.GATEWAY_TIMEOUT : HttpResponseStatus.BAD_GATEWAY,
                     NO_BODY,
                     0);
         }
     }
 
+    private static HttpHeaders withoutFramingHeaders(HttpHeaders headers) {
+        return headers.remove(HttpHeaderNames.CONTENT_LENGTH).remove(HttpHeaderNames.TRANSFER_ENCODING);
+    }
+
     private void respond(HttpResponseStatus status, Response response, long retryAfterUs) {
         ended = true;
         client.answer(status, response, retryAfterUs);
--- a/src/main/java/quartzspan/http/ConnectionPool.java
+++ b/src/main/java/quartzspan/http/ConnectionPool.java
@@ -8,6 +8,9 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelProgressiveFuture;
+import io.netty.channel.ChannelProgressiveFutureListener;
+import io.netty.channel.ChannelProgressivePromise;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
@@ -36,9 +39,9 @@
 import quartzspan.loadbalancing.LoadBalancer.Outcome;
 
 /**
- * Pool of keep-alive connections to endpoints, with at most one in-flight request on each. The pool retries nothing: the
- * request of an attempt is completely written at most once, and the attempt ends exactly once, with the strongest outcome that is
- * certain.
+ * Pool of keep-alive connections to endpoints, with at most one in-flight request on each. The pool retries nothing: of the
+ * connections that an attempt tries at most one is handed the complete head of its request (see {@link RequestProgress}), and the
+ * attempt ends exactly once, with the strongest outcome that is certain.
  *
  * <p>Confined to one event loop; all calls and callbacks are made on it. Example:
  *
@@ -51,6 +54,7 @@
     private static final double IDLE_TIMEOUT_FRACTION = 0.75;
 
     private static final long SWEEP_INTERVAL_MS = 100;
+    private static final long NANOS_PER_MS = 1_000_000;
     /**
      * A connection is not reused this soon after a response, so that unsolicited input that follows the response is not taken
      * for the response to the next request.
@@ -58,7 +62,7 @@
     private static final long MIN_IDLE_NANOS = 3_000_000;
     /** Interim responses (1xx) accepted for one request; more of them fail the attempt. */
     private static final int MAX_INTERIM_RESPONSES = 16;
-    /** New connections that one attempt may open if they are reset before the request is completely written. */
+    /** New connections that one attempt may open if they are reset before the request's head is completely written. */
     private static final int MAX_NEW_CONNECTIONS = 3;
     /**
      * A reused connection that is lost this soon after the request was written is considered stale: the server had closed it
@@ -104,6 +108,8 @@
                 .group(loop)
                 .option(ChannelOption.ALLOCATOR, BUFFERS)
                 .option(ChannelOption.TCP_NODELAY, true)
+                // A failed write does not close the channel: a response that has arrived before it is still read.
+                .option(ChannelOption.AUTO_CLOSE, false)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, dialTimeoutUs / 1000));
     }
 
@@ -344,6 +350,12 @@
         private boolean stale;
         private long idleNanos;
         private long writtenAtNanos;
+        /** Whether the present connection was taken from the pool. */
+        private boolean reused;
+        /** The size of the request's head, and how much of the request the present connection has taken. */
+        private int headBytes = Integer.MAX_VALUE;
+
+        private long writtenBytes;
         private boolean ended;
 
         private Attempt(
@@ -359,7 +371,7 @@
             this.responseHandler = responseHandler;
             this.listener = listener;
             this.deadlineNanos = System.nanoTime() + timeoutUs * 1000;
-            this.timer = loop.schedule(() -> abandon(Outcome.TIMED_OUT), timeoutUs, TimeUnit.MICROSECONDS);
+            this.timer = loop.schedule(this::onTimeout, timeoutUs, TimeUnit.MICROSECONDS);
         }
 
         /** Starts with any connection; the listener may be called before this returns. */
@@ -426,11 +438,12 @@
         /**
          * Writes the request; the only place that does. While the connection was being established the endpoint may have started
          * to drain, the request may have ended, or its deadline may have passed if this process was suspended: then nothing is
-         * written, and the outcome is {@code IGNORED}. A connection that fails before the complete request is written is no sign of
-         * a failing server, so a new one is tried.
+         * written, and the outcome is {@code IGNORED}. What a failed write means is decided when the connection is lost: what has
+         * been received before that is read first.
          */
-        private void write(Connection acquired, boolean reused) {
+        private void write(Connection acquired, boolean fromPool) {
             connection = acquired;
+            reused = fromPool;
             connectFuture = null;
             writtenAtNanos = System.nanoTime();
             long remainingNanos = deadlineNanos - writtenAtNanos;
@@ -439,20 +452,35 @@
                 return;
             }
             acquired.current = this;
-            writeFuture = acquired.channel.writeAndFlush(request.encode(Math.max(1, remainingNanos / 1_000_000)));
-            writeFuture.addListener(f -> {
-                boolean responded = acquired.current != this;
-                if (f.isSuccess() || ended || responded) {
-                    return;
+            EncodedRequest encoded = request.encode(Math.max(1, remainingNanos / NANOS_PER_MS));
+            headBytes = encoded.headBytes();
+            writtenBytes = 0;
+            ChannelProgressivePromise written = acquired.channel.newProgressivePromise();
+            written.addListener(new ChannelProgressiveFutureListener() {
+                @Override
+                public void operationProgressed(ChannelProgressiveFuture future, long progress, long total) {
+                    onBytesWritten(acquired, progress);
                 }
-                if (reused || newConnections < MAX_NEW_CONNECTIONS) {
-                    idleNanos = 0;
-                    release();
-                    connect();
-                } else {
-                    onConnectionLost();
+
+                @Override
+                public void operationComplete(ChannelProgressiveFuture future) {
+                    if (future.isSuccess()) {
+                        onBytesWritten(acquired, encoded.headBytes());
+                    }
                 }
             });
+            writeFuture = acquired.channel.writeAndFlush(encoded.bytes(), written);
+        }
+
+        private void onBytesWritten(Connection target, long bytes) {
+            if (connection == target) {
+                writtenBytes = Math.max(writtenBytes, bytes);
+            }
+        }
+
+        private RequestProgress progress() {
+            boolean responding = connection != null && connection.hasResponseStarted();
+            return RequestProgress.of(writtenBytes, headBytes, responding);
         }
 
         /** Resumes reading after {@link ResponseHandler#onChunk} returned false. */
@@ -473,19 +501,26 @@
 
         /** Cancels the attempt and closes its connection, so that the server can stop working on the request. */
         public void cancel() {
-            abandon(Outcome.CANCELED);
+            finish(Outcome.CANCELED, null);
         }
 
-        private void abandon(Outcome outcome) {
-            boolean completelyWritten = writeFuture != null && writeFuture.isSuccess();
-            finish(outcome == Outcome.TIMED_OUT && !completelyWritten ? Outcome.CONNECT_ERROR : outcome, null);
+        private void onTimeout() {
+            finish(progress().onTimeout(), null);
         }
 
-        /** Ends the attempt of a lost connection. The request is certain not to have run only if its last byte was not written. */
+        /** Ends the attempt of a lost connection, or tries another one if nothing that could be executed was sent. */
         private void onConnectionLost() {
+            RequestProgress progress = progress();
             stale = idleNanos > 0 && System.nanoTime() - writtenAtNanos < STALE_RESET_NANOS;
             updateIdleTimeout();
-            finish(writeFuture.isSuccess() ? Outcome.RESET : Outcome.CONNECT_ERROR, null);
+            if (progress.mayReconnect() && (reused || newConnections < MAX_NEW_CONNECTIONS)) {
+                stale = false;
+                idleNanos = 0;
+                release();
+                connect();
+            } else {
+                finish(progress.onConnectionLost(), null);
+            }
         }
 
         /** Adjusts the idle timeout by whether the reused connection was stale. */
@@ -510,6 +545,7 @@
                 connection.close();
                 connection = null;
                 writeFuture = null;
+                writtenBytes = 0;
             } else if (connectFuture != null) {
                 connectFuture.channel().close();
             }
@@ -590,6 +626,11 @@
             };
         }
 
+        /** Whether a response, interim or final, has begun since the request was written. */
+        boolean hasResponseStarted() {
+            return head != null;
+        }
+
         void removeFromIdle() {
             if (idleConnections.remove(this)) {
                 endpoint.idleConnections.remove(this);
@@ -723,6 +764,7 @@
             Outcome attemptOutcome = outcome;
             Response response = fullResponse;
             current = null;
+            head = null;
             outcome = null;
             fullResponse = null;
             interimResponses = 0;
--- a/src/main/java/quartzspan/http/OutgoingRequest.java
+++ b/src/main/java/quartzspan/http/OutgoingRequest.java
@@ -1,6 +1,5 @@
 package quartzspan.http;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -8,7 +7,6 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.util.AsciiString;
 import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 
@@ -45,26 +43,21 @@
     }
 
     /**
-     * Encodes the complete request into one buffer, so that a successful write means that the last byte was written, and a
-     * failed one that it was not. A codec writes head and body separately, and could fail between the two.
+     * Encodes the complete request into one buffer, so that a successful write means that the last byte was written. A codec
+     * writes head and body separately. The body's bytes are not copied.
      */
-    ByteBuf encode(long deadlineMs) {
-        StringBuilder head = new StringBuilder(256);
-        head.append(method).append(' ').append(uri).append(" HTTP/1.1\r\n");
+    EncodedRequest encode(long deadlineMs) {
+        StringBuilder text = new StringBuilder(256);
+        text.append(method).append(' ').append(uri).append(" HTTP/1.1\r\n");
         for (Map.Entry<String, String> header : headers) {
-            head.append(header.getKey()).append(": ").append(header.getValue()).append("\r\n");
+            text.append(header.getKey()).append(": ").append(header.getValue()).append("\r\n");
         }
-        head.append("X-Deadline-Ms: ").append(deadlineMs).append("\r\n");
+        text.append("X-Deadline-Ms: ").append(deadlineMs).append("\r\n");
         if (body.length > 0 || !method.equals("GET")) {
-            head.append("Content-Length: ").append(body.length).append("\r\n");
+            text.append("Content-Length: ").append(body.length).append("\r\n");
         }
-        head.append("\r\n");
-        return Unpooled.wrappedBuffer(concat(head.toString().getBytes(StandardCharsets.ISO_8859_1), body));
-    }
-
-    private static byte[] concat(byte[] head, byte[] body) {
-        byte[] all = Arrays.copyOf(head, head.length + body.length);
-        System.arraycopy(body, 0, all, head.length, body.length);
-        return all;
+        text.append("\r\n");
+        byte[] head = text.toString().getBytes(StandardCharsets.ISO_8859_1);
+        return new EncodedRequest(Unpooled.wrappedBuffer(head, body), head.length);
     }
 }
