Proxy: bodies are kept only while their requests are under way, within one account

Cause: a connection kept its last request's body while it rested: in its receive buffer, by the listener for slow clients, which was never cleared, and by the close listener of a pooled connection, which referred to the attempt that had opened it. Nothing bounded the bodies of all clients together.

Change: BodyMemory is one account of all bodies, reserved as they grow and given back with the end of the answer; a request whose body does not fit gets 503 with Retry-After at once. ProxyMemory divides the heap at the start and accepts as many connections as fit. Slow clients hold 8 KiB and a read of 8 KiB.

--- a/src/main/java/quartzspan/frontend/FrontendProxy.java
+++ b/src/main/java/quartzspan/frontend/FrontendProxy.java
@@ -42,7 +42,6 @@
     /** File descriptors reserved for files and for connections between the system's own processes. */
     private static final int RESERVED_DESCRIPTORS = 300;
 
-    private static final int MIN_CONNECTIONS = 64;
     private static final int CONNECT_TIMEOUT_US = 400_000;
     /** Idle timeout of the servers; the pool closes idle connections before the servers do. */
     private static final long SERVER_IDLE_TIMEOUT_US = 8_000_000;
@@ -79,17 +78,22 @@
     private final Set<ProxiedRequest> inFlight = new HashSet<>();
     private final CountDownLatch shutdownComplete = new CountDownLatch(1);
     private final ShutdownSchedule shutdown;
+    private final ProxyMemory memory;
     private boolean ready;
     /** Requests rejected during the shutdown because they might not have ended before the process exits. */
     private int rejectedDuringShutdown;
 
     private FrontendProxy(Settings settings, List<String> seeds, EventLoopGroup group, EventLoop loop) {
         this.settings = settings;
+        this.memory = ProxyMemory.divide(
+                Runtime.getRuntime().maxMemory(),
+                Math.max(ProxyMemory.MIN_CONNECTIONS, (settings.fileDescriptors() - RESERVED_DESCRIPTORS) / 2));
         this.group = group;
         this.loop = loop;
         this.shutdown = new ShutdownSchedule(gracePeriodMs(settings), nowMs());
         String internalAddress = hostAndPort(settings.internalAddress());
-        int maxServerConnections = Math.max(MIN_CONNECTIONS, (settings.fileDescriptors() - RESERVED_DESCRIPTORS) / 3);
+        int maxServerConnections =
+                Math.max(ProxyMemory.MIN_CONNECTIONS, (settings.fileDescriptors() - RESERVED_DESCRIPTORS) / 3);
         this.connectionPool =
                 new ConnectionPool(loop, CONNECT_TIMEOUT_US, SERVER_IDLE_TIMEOUT_US, maxServerConnections);
         this.transport =
@@ -157,6 +161,10 @@
                 })
                 .get();
         LOG.info("proxy {} listens at {}", settings.nodeName(), settings.listenAddress("frontend"));
+        LOG.info(
+                "at most {} client connections, {} bytes for the bodies of requests",
+                proxy.memory.maxConnections(),
+                proxy.memory.bodyBytes());
         return proxy;
     }
 
@@ -262,11 +270,12 @@
     public HttpServer.ConnectionLimits limits() {
         Configuration.Limits limits = configuration().limits();
         return new HttpServer.ConnectionLimits(
-                Math.max(MIN_CONNECTIONS, (settings.fileDescriptors() - RESERVED_DESCRIPTORS) / 2),
+                memory.maxConnections(),
                 limits.maxHeaderBytes() + HEADER_MARGIN_BYTES,
                 limits.maxBodyBytes(),
                 limits.idleTimeoutMs() + CLIENT_IDLE_MARGIN_MS,
-                Math.max(MIN_REQUEST_TIMEOUT_MS, limits.headerTimeoutMs()));
+                Math.max(MIN_REQUEST_TIMEOUT_MS, limits.headerTimeoutMs()),
+                memory.bodyBytes());
     }
 
     private Configuration configuration() {
--- /dev/null
+++ b/src/main/java/quartzspan/http/BodyMemory.java
@@ -0,0 +1,56 @@
+package quartzspan.http;
+
+/**
+ * The account of the memory that the bodies of all clients' requests occupy: from the moment a part of a body is received until the
+ * response to its request is complete or its client has disconnected. A body that does not fit is not stored. Confined to one
+ * event loop.
+ */
+final class BodyMemory {
+    /** Bodies up to this size, in bytes, may use the whole account; the rest of longer ones must leave a part to them. */
+    static final int SHORT_BODY_BYTES = 16 * 1024;
+    /** The part of the account that longer bodies may use. */
+    private static final double LONG_BODY_SHARE = 0.75;
+
+    private long limitBytes;
+    private long reservedBytes;
+
+    BodyMemory(long limitBytes) {
+        this.limitBytes = limitBytes;
+    }
+
+    /** Changes the size of the account; what is reserved stays reserved. */
+    void setLimit(long bytes) {
+        limitBytes = bytes;
+    }
+
+    /**
+     * Reserves memory for more of a body.
+     *
+     * @param bytes the additional bytes
+     * @param bodyBytes the size of the body's buffer with them, bytes
+     * @return whether it was reserved; if not, the account is unchanged
+     */
+    boolean tryReserve(long bytes, long bodyBytes) {
+        double usable = bodyBytes <= SHORT_BODY_BYTES ? limitBytes : LONG_BODY_SHARE * limitBytes;
+        if (reservedBytes + bytes > usable) {
+            return false;
+        }
+        reservedBytes += bytes;
+        return true;
+    }
+
+    /** Gives reserved memory back. */
+    void release(long bytes) {
+        reservedBytes -= bytes;
+    }
+
+    /** Whether more than half of the account is used. */
+    boolean isScarce() {
+        return 2 * reservedBytes > limitBytes;
+    }
+
+    /** The bytes that are reserved at present. */
+    long reservedBytes() {
+        return reservedBytes;
+    }
+}
--- a/src/main/java/quartzspan/http/ConnectionPool.java
+++ b/src/main/java/quartzspan/http/ConnectionPool.java
@@ -3,6 +3,8 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -55,6 +57,12 @@
 
     private static final long SWEEP_INTERVAL_MS = 100;
     private static final long NANOS_PER_MS = 1_000_000;
+    private static final int BODY_BUFFER_BYTES = 256;
+    /** Sizes of one read: little more is read after a slow client has made reading pause. */
+    private static final int MIN_READ_BYTES = 64;
+
+    private static final int INITIAL_READ_BYTES = 2 * 1024;
+    private static final int MAX_READ_BYTES = 8 * 1024;
     /**
      * A connection is not reused this soon after a response, so that unsolicited input that follows the response is not taken
      * for the response to the next request.
@@ -107,6 +115,9 @@
         this.bootstrap = new Bootstrap()
                 .group(loop)
                 .option(ChannelOption.ALLOCATOR, BUFFERS)
+                .option(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES))
                 .option(ChannelOption.TCP_NODELAY, true)
                 // A failed write does not close the channel: a response that has arrived before it is still read.
                 .option(ChannelOption.AUTO_CLOSE, false)
@@ -325,6 +336,16 @@
         return null;
     }
 
+    /** Counts a connection until it is closed. Its listener must not refer to an attempt: that would live as long. */
+    private void count(Endpoint endpoint, Channel channel) {
+        connectionCount++;
+        endpoint.connectionCount++;
+        channel.closeFuture().addListener(f -> {
+            connectionCount--;
+            endpoint.connectionCount--;
+        });
+    }
+
     /** Closes the least recently used idle connection to an endpoint if its connection limit rules out a new one. */
     private static void makeRoomForNewConnection(Endpoint endpoint) {
         Connection oldest = endpoint.idleConnections.peekLast();
@@ -415,12 +436,7 @@
                     .handler(newConnection.pipeline())
                     .connect(endpoint.address);
             newConnections++;
-            connectionCount++;
-            endpoint.connectionCount++;
-            future.channel().closeFuture().addListener(f -> {
-                connectionCount--;
-                endpoint.connectionCount--;
-            });
+            count(endpoint, future.channel());
             connectFuture = future;
             future.addListener(f -> {
                 if (ended) {
@@ -579,7 +595,7 @@
     private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
         private final Endpoint endpoint;
         private final PeekableChannel channel = new PeekableChannel();
-        private final ByteBuf body = BUFFERS.buffer();
+        private final ByteBuf body = BUFFERS.buffer(BODY_BUFFER_BYTES);
         private Attempt current;
         private long idleSinceNanos;
         /** Idle timeout derived from the server's Keep-Alive header. */
@@ -770,7 +786,8 @@
             interimResponses = 0;
             streaming = false;
             channel.config().setAutoRead(true);
-            body.clear();
+            // A large buffer must not stay with a connection that rests in the pool.
+            body.clear().capacity(BODY_BUFFER_BYTES);
             if (reusable && !decoder.hasBufferedInput() && endpoint.ready && channel.isActive()) {
                 idleSinceNanos = System.nanoTime();
                 endpoint.idleConnections.push(this);
--- a/src/main/java/quartzspan/http/HttpServer.java
+++ b/src/main/java/quartzspan/http/HttpServer.java
@@ -11,6 +11,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
@@ -69,18 +70,39 @@
      * @param maxBodyBytes maximum size of a request body
      * @param idleTimeoutMs how long a connection may have no request in flight
      * @param requestTimeoutMs how long receiving a complete request may take
+     * @param maxBodyMemoryBytes memory for the bodies of all clients together; a request whose body does not fit is rejected
      */
     public record ConnectionLimits(
-            int maxConnections, int maxHeaderBytes, int maxBodyBytes, long idleTimeoutMs, long requestTimeoutMs) {}
+            int maxConnections,
+            int maxHeaderBytes,
+            int maxBodyBytes,
+            long idleTimeoutMs,
+            long requestTimeoutMs,
+            long maxBodyMemoryBytes) {
+        /** Limits with half of the heap as memory for bodies. */
+        public ConnectionLimits(
+                int maxConnections, int maxHeaderBytes, int maxBodyBytes, long idleTimeoutMs, long requestTimeoutMs) {
+            this(
+                    maxConnections,
+                    maxHeaderBytes,
+                    maxBodyBytes,
+                    idleTimeoutMs,
+                    requestTimeoutMs,
+                    Runtime.getRuntime().maxMemory() / 2);
+        }
+    }
 
     /**
-     * Limits on pipelined requests and body bytes of one client; reading from it pauses at either (backpressure). All clients
-     * together may have {@code MAX_BUFFERED_BYTES}; above that, reading continues only where no complete request is pending.
+     * Limits on pipelined requests and body bytes of one client; reading from it pauses at either (backpressure), and where a
+     * complete request is pending also while the memory for bodies is scarce.
      */
     private static final int MAX_PIPELINED_REQUESTS = 16;
 
     private static final int MAX_PIPELINED_BYTES = HttpFraming.MAX_BODY_BYTES;
-    private static final int MAX_BUFFERED_BYTES = 8 * 1024 * 1024;
+    /** When a client whose request does not fit into memory should come back, microseconds. */
+    private static final long OVERLOAD_RETRY_AFTER_US = 500_000;
+    /** Bytes of a response that wait for a slow client before the server's connection is no longer read, and is read again. */
+    private static final WriteBufferWaterMark RESPONSE_WATER_MARK = new WriteBufferWaterMark(4 * 1024, 8 * 1024);
     /**
      * Size of one read; small, so that little more is decoded after reading was paused. Reads are repeated until the input is
      * used up, because only the last one reveals that a client disconnected right after its request, but at most
@@ -89,6 +111,7 @@
     private static final int READ_BYTES = 8 * 1024;
 
     private static final int MAX_READS = 16;
+    private static final byte[] NO_BYTES = {};
     /** While reading is paused, one read at this interval detects a client that has disconnected. */
     private static final long PEEK_INTERVAL_MS = 200;
 
@@ -113,7 +136,7 @@
     /** Connections with a partly received request, oldest request first. */
     private final LinkedHashSet<ClientConnection> receivingConnections = new LinkedHashSet<>();
 
-    private long bufferedBytes;
+    private final BodyMemory bodyMemory;
     private Channel listener;
     private boolean draining;
     private boolean closingAfterResponses;
@@ -125,6 +148,7 @@
         this.handler = handler;
         this.loop = loop;
         this.limits = handler.limits();
+        this.bodyMemory = new BodyMemory(limits.maxBodyMemoryBytes());
         this.clients = new DefaultChannelGroup(loop);
     }
 
@@ -147,11 +171,13 @@
                         new FixedRecvByteBufAllocator(READ_BYTES)
                                 .respectMaybeMoreData(false)
                                 .maxMessagesPerRead(MAX_READS))
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, RESPONSE_WATER_MARK)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel ch) {
                         limits = handler.limits();
+                        bodyMemory.setLimit(limits.maxBodyMemoryBytes());
                         ClientConnection client = new ClientConnection(ch);
                         ch.pipeline()
                                 .addLast(
@@ -268,6 +294,11 @@
         idleConnections.stream().filter(ClientConnection::isIdle).toList().forEach(client -> client.channel.close());
     }
 
+    /** The account of the memory for bodies. */
+    BodyMemory bodyMemory() {
+        return bodyMemory;
+    }
+
     /** Whether no request is in flight or being received. */
     public boolean isIdle() {
         return respondingConnections == 0 && receivingConnections.isEmpty();
@@ -277,15 +308,23 @@
     public final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> {
         private final Channel channel;
         private final ArrayDeque<QueuedRequest> queuedRequests = new ArrayDeque<>();
+        /** The bodies of the queued requests, bytes. */
         private int queuedBytes;
+        /** The body of the request that is being handled, bytes. */
+        private int inFlightBytes;
+
         /**
          * The head of the request being received, or null. {@code body} is what has arrived of its body, {@code expectsContinue}
          * whether the client waits for {@code 100 Continue}.
          */
         private HttpRequest head;
 
-        private ByteBuf body;
+        private RequestBody body;
         private boolean expectsContinue;
+        /** Whether the rest of a rejected request's body is being read and dropped. */
+        private boolean discardingBody;
+
+        private boolean closeAfterDiscardedBody;
         /** Set by invalid input: all input after it is ignored. */
         private boolean inputRejected;
 
@@ -300,7 +339,7 @@
         private Runnable disconnectListener;
         private Runnable writableListener;
 
-        /** A complete request, or the error status for invalid input. */
+        /** A complete request, or the error status for one that is not handled; its head is null if the input was invalid. */
         private record QueuedRequest(HttpRequest head, byte[] body, long receivedAtUs, HttpResponseStatus error) {}
 
         ClientConnection(Channel channel) {
@@ -325,14 +364,25 @@
             if (message instanceof HttpRequest request) {
                 startRequest(request);
             }
-            if (message instanceof HttpContent content && !inputRejected) {
-                appendBody(content.content());
-                if (message instanceof LastHttpContent && !inputRejected) {
+            if (discardingBody) {
+                discard(message);
+            } else if (message instanceof HttpContent content && !inputRejected) {
+                appendBody(content);
+                if (message instanceof LastHttpContent && body != null) {
                     finishRequest();
                 }
             }
         }
 
+        private void discard(HttpObject message) {
+            if (message instanceof LastHttpContent) {
+                discardingBody = false;
+                if (closeAfterDiscardedBody) {
+                    channel.close();
+                }
+            }
+        }
+
         private void startRequest(HttpRequest request) {
             String expected = request.headers().get(HttpHeaderNames.EXPECT);
             expectsContinue = expected != null;
@@ -346,11 +396,17 @@
                 head = request;
                 receivingSinceNanos = System.nanoTime();
                 receivingConnections.add(this);
-                body = ConnectionPool.BUFFERS.buffer();
+                body = new RequestBody(bodyMemory, maxBodyBytes(request));
                 sendContinue();
             }
         }
 
+        /** The length that a valid request declares, or the largest one allowed. */
+        private int maxBodyBytes(HttpRequest request) {
+            long declared = HttpFraming.parseNumber(request.headers().get(HttpHeaderNames.CONTENT_LENGTH));
+            return declared < 0 ? limits.maxBodyBytes() : (int) declared;
+        }
+
         /** Sends {@code 100 Continue} once the request is the next to be handled. */
         private void sendContinue() {
             if (expectsContinue && head != null && !responding && queuedRequests.isEmpty()) {
@@ -360,30 +416,47 @@
             }
         }
 
-        private void appendBody(ByteBuf content) {
-            if (body.readableBytes() + content.readableBytes() > limits.maxBodyBytes()) {
+        private void appendBody(HttpContent content) {
+            if (body.exceedsLimit(content.content())) {
                 rejectInput(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
-            } else {
-                addBuffered(content.readableBytes());
-                body.writeBytes(content);
+            } else if (!body.append(content.content())) {
+                rejectForMemory(content);
             }
         }
 
         private void finishRequest() {
-            byte[] completeBody = new byte[body.readableBytes()];
-            body.readBytes(completeBody);
+            byte[] completeBody = body.complete();
+            queuedBytes += completeBody.length;
             HttpRequest request = head;
             head = null;
+            body = null;
             receivingConnections.remove(this);
             enqueue(new QueuedRequest(request, completeBody, handler.now(), null));
         }
 
+        /** Rejects a request whose body does not fit into memory: it was not handled. The rest of its body is read and dropped. */
+        private void rejectForMemory(HttpContent content) {
+            HttpRequest request = head;
+            stopReceiving();
+            discardingBody = !(content instanceof LastHttpContent);
+            enqueue(new QueuedRequest(request, NO_BYTES, 0, HttpResponseStatus.SERVICE_UNAVAILABLE));
+        }
+
+        /** Gives up what has been received of a request. */
+        private void stopReceiving() {
+            receivingConnections.remove(this);
+            head = null;
+            if (body != null) {
+                bodyMemory.release(body.reservedBytes());
+                body = null;
+            }
+        }
+
         /** Ignores all further input of this client. Responds with the error after the responses to earlier requests. */
         private void rejectInput(HttpResponseStatus error) {
             inputRejected = true;
-            head = null;
-            receivingConnections.remove(this);
-            enqueue(new QueuedRequest(null, new byte[0], 0, error));
+            stopReceiving();
+            enqueue(new QueuedRequest(null, NO_BYTES, 0, error));
         }
 
         /** Queues a request. It is handled after the current read completes, and not at all if its client has disconnected. */
@@ -400,9 +473,8 @@
             }
         }
 
-        private void addBuffered(int bytes) {
-            queuedBytes += bytes;
-            bufferedBytes += bytes;
+        private int pendingBytes() {
+            return queuedBytes + (body == null ? 0 : body.length());
         }
 
         /**
@@ -413,8 +485,8 @@
             boolean queueFull = (responding || !queuedRequests.isEmpty())
                     && !inputRejected
                     && (queuedRequests.size() >= MAX_PIPELINED_REQUESTS
-                            || queuedBytes >= MAX_PIPELINED_BYTES
-                            || bufferedBytes >= MAX_BUFFERED_BYTES);
+                            || pendingBytes() >= MAX_PIPELINED_BYTES
+                            || bodyMemory.isScarce());
             channel.config().setAutoRead(!queueFull);
             if (queueFull && !peekScheduled) {
                 peekScheduled = true;
@@ -425,7 +497,7 @@
         private void peek() {
             peekScheduled = false;
             if (channel.isActive()) {
-                if (queuedBytes < 2 * MAX_PIPELINED_BYTES && bufferedBytes < MAX_BUFFERED_BYTES) {
+                if (pendingBytes() < 2 * MAX_PIPELINED_BYTES) {
                     channel.read();
                 }
                 updateAutoRead();
@@ -440,7 +512,8 @@
             handlingQueued = true;
             while (!responding && !queuedRequests.isEmpty() && channel.isActive()) {
                 QueuedRequest next = queuedRequests.poll();
-                addBuffered(-next.body().length);
+                queuedBytes -= next.body().length;
+                inFlightBytes = next.body().length;
                 handle(next);
             }
             handlingQueued = false;
@@ -454,8 +527,10 @@
             respondingConnections++;
             HttpRequest request = next.head();
             keepAlive = request != null && HttpUtil.isKeepAlive(request);
-            if (request == null) {
-                answer(next.error());
+            if (next.error() != null) {
+                long retryAfterUs =
+                        next.error().equals(HttpResponseStatus.SERVICE_UNAVAILABLE) ? OVERLOAD_RETRY_AFTER_US : 0;
+                answer(next.error(), ConnectionPool.Response.EMPTY, retryAfterUs);
             } else {
                 handler.onRequest(this, request, next.body(), next.receivedAtUs());
             }
@@ -477,7 +552,7 @@
          * @param retryAfterUs value of the Retry-After header, microseconds; 0 for none
          */
         public void answer(HttpResponseStatus status, ConnectionPool.Response response, long retryAfterUs) {
-            disconnectListener = null;
+            forgetRequest();
             DefaultFullHttpResponse message =
                     new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(response.body()));
             message.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.body().length);
@@ -513,7 +588,12 @@
                 respondingConnections--;
                 responding = false;
             }
-            if (last || !written.isSuccess()) {
+            bodyMemory.release(inFlightBytes);
+            inFlightBytes = 0;
+            if (last && written.isSuccess() && discardingBody) {
+                // Closing with unread input would reset the connection before the client has read the response.
+                closeAfterDiscardedBody = true;
+            } else if (last || !written.isSuccess()) {
                 channel.close();
             } else {
                 handleQueued();
@@ -533,7 +613,7 @@
 
         /** Completes a streamed response. */
         public void finishResponse() {
-            disconnectListener = null;
+            forgetRequest();
             markIdle();
             boolean last = lastResponse;
             channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
@@ -542,10 +622,16 @@
 
         /** Closes the connection because the response can't be completed, or none can be given. */
         public void abort() {
-            disconnectListener = null;
+            forgetRequest();
             channel.close();
         }
 
+        /** Drops the listeners, which refer to the request: a connection that rests must not keep it. */
+        private void forgetRequest() {
+            disconnectListener = null;
+            writableListener = null;
+        }
+
         /** Whether the channel is writable. The listener replaces the previous one and runs when the channel becomes writable again. */
         public boolean isWritable(Runnable listener) {
             writableListener = listener;
@@ -595,16 +681,19 @@
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             idleConnections.remove(this);
-            receivingConnections.remove(this);
+            stopReceiving();
             queuedRequests.clear();
-            bufferedBytes -= queuedBytes;
+            bodyMemory.release(queuedBytes + inFlightBytes);
             queuedBytes = 0;
+            inFlightBytes = 0;
             if (responding) {
                 responding = false;
                 respondingConnections--;
             }
-            if (disconnectListener != null) {
-                disconnectListener.run();
+            Runnable listener = disconnectListener;
+            forgetRequest();
+            if (listener != null) {
+                listener.run();
             }
         }
 
--- a/src/test/java/quartzspan/http/ConnectionPoolTest.java
+++ b/src/test/java/quartzspan/http/ConnectionPoolTest.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import java.io.IOException;
 import java.io.InputStream;
+import java.lang.ref.WeakReference;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -188,6 +189,46 @@
         }
     }
 
+    /** Guards against a pooled connection that keeps the request for which it was opened, with its body (review/2). */
+    @Test
+    void connectionThatRestsInThePoolRefersToNoRequest() throws Exception {
+        try (ScriptedServer server = new ScriptedServer((socket, in) -> {
+            int run = beginRun(in);
+            in.readNBytes(SHORT_BODY_BYTES);
+            ScriptedServer.write(socket, responseOf(run, 1));
+            in.read();
+        })) {
+            WeakReference<byte[]> body = sendAndRest(server);
+            long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MS);
+            while (body.get() != null) {
+                assertTrue(System.nanoTime() < endNanos, "the pool keeps the request");
+                System.gc();
+            }
+        }
+    }
+
+    private WeakReference<byte[]> sendAndRest(ScriptedServer server) throws Exception {
+        byte[] body = new byte[SHORT_BODY_BYTES];
+        CompletableFuture<Outcome> ended = new CompletableFuture<>();
+        loop.execute(() -> {
+            ConnectionPool.Endpoint endpoint = new ConnectionPool.Endpoint("e");
+            endpoint.update((InetSocketAddress) server.socket.getLocalSocketAddress(), true, 8);
+            pool.attempt(
+                            endpoint,
+                            new OutgoingRequest("POST", "/x", new DefaultHttpHeaders(), body),
+                            TIMEOUT_MS * 1_000L,
+                            () -> true,
+                            new Recorder(),
+                            (outcome, response) -> {
+                                assertTrue(endpoint.isConnected() && body.length > 0);
+                                ended.complete(outcome);
+                            })
+                    .start();
+        });
+        assertEquals(Outcome.OK, ended.get(TIMEOUT_MS, TimeUnit.MILLISECONDS));
+        return new WeakReference<>(body);
+    }
+
     /** What a server does with one request, as drawn from a seed. */
     private record Script(boolean readsHead, int bodyBytesRead, int responseBytes, String response, Ending ending) {
         private enum Ending {
