--- a/src/main/java/quartzspan/frontend/ProxiedRequest.java
+++ b/src/main/java/quartzspan/frontend/ProxiedRequest.java
@@ -307,6 +307,7 @@
                     proxy.now() >= deadlineUs ? HttpResponseStatus.GATEWAY_TIMEOUT : HttpResponseStatus.BAD_GATEWAY,
                     NO_BODY,
                     0);
+            default -> throw new AssertionError(action);
         }
     }
 
--- a/src/test/java/quartzspan/frontend/LongBodyResendTest.java
+++ b/src/test/java/quartzspan/frontend/LongBodyResendTest.java
@@ -32,7 +32,7 @@
     /** Starts a server; returns once the proxy forwards to it. */
     private void startServer(String id, Run run) throws Exception {
         AtomicInteger warmUps = new AtomicInteger();
-        ScriptedServer server = closeAfterTest(new ScriptedServer((socket, in) -> {
+        ScriptedServer server = closeAfterTest(ScriptedServer.startWithSmallBuffer((socket, in) -> {
             String attemptId = LoopbackPeers.readHead(in).header("x-attempt-id");
             if (WARM_UP.equals(attemptId)) {
                 warmUps.incrementAndGet();
--- a/src/test/java/quartzspan/http/ConnectionPoolTest.java
+++ b/src/test/java/quartzspan/http/ConnectionPoolTest.java
@@ -120,7 +120,7 @@
     /** Guards against a second run of a request whose server began to answer before it had read the body (review/1). */
     @Test
     void requestIsNotSentAgainOnceItsResponseHasBegun() throws Exception {
-        try (ScriptedServer server = new ScriptedServer((socket, in) -> {
+        try (ScriptedServer server = ScriptedServer.startWithSmallBuffer((socket, in) -> {
             String response = responseOf(beginRun(in), 3);
             ScriptedServer.write(socket, response.substring(0, response.length() - 10));
             in.readNBytes(SHORT_BODY_BYTES);
@@ -136,7 +136,7 @@
     /** Guards against a promise that a request has not run whose server had begun to run it, without an answer. */
     @Test
     void requestWhoseHeadWasSentMayHaveBeenExecuted() throws Exception {
-        try (ScriptedServer server = new ScriptedServer((socket, in) -> {
+        try (ScriptedServer server = ScriptedServer.startWithSmallBuffer((socket, in) -> {
             beginRun(in);
             ScriptedServer.reset(socket);
         })) {
@@ -149,7 +149,7 @@
     /** Guards against a promise that a request has not run whose server was still reading its body at the timeout. */
     @Test
     void requestWhoseHeadWasSentMayHaveBeenExecutedAtItsTimeout() throws Exception {
-        try (ScriptedServer server = new ScriptedServer((socket, in) -> beginRun(in))) {
+        try (ScriptedServer server = ScriptedServer.startWithSmallBuffer((socket, in) -> beginRun(in))) {
             assertEquals(
                     Outcome.TIMED_OUT,
                     send(server, LONG_BODY_BYTES, SHORT_TIMEOUT_MS, 0).outcome());
@@ -160,7 +160,7 @@
     @Test
     void completeResponseBeforeAResetIsDelivered() throws Exception {
         for (int i = 1; i <= 20; i++) {
-            try (ScriptedServer server = new ScriptedServer((socket, in) -> {
+            try (ScriptedServer server = ScriptedServer.startWithSmallBuffer((socket, in) -> {
                 ScriptedServer.write(socket, responseOf(beginRun(in), 2));
                 socket.close();
             })) {
@@ -175,7 +175,7 @@
     @Test
     void connectionThatIsResetBeforeTheRequestIsReplaced() throws Exception {
         AtomicInteger connections = new AtomicInteger();
-        try (ScriptedServer server = new ScriptedServer((socket, in) -> {
+        try (ScriptedServer server = ScriptedServer.startWithSmallBuffer((socket, in) -> {
             if (connections.incrementAndGet() == 1) {
                 ScriptedServer.reset(socket);
             } else {
@@ -192,7 +192,7 @@
     /** Guards against a pooled connection that keeps the request for which it was opened, with its body (review/2). */
     @Test
     void connectionThatRestsInThePoolRefersToNoRequest() throws Exception {
-        try (ScriptedServer server = new ScriptedServer((socket, in) -> {
+        try (ScriptedServer server = ScriptedServer.startWithSmallBuffer((socket, in) -> {
             int run = beginRun(in);
             in.readNBytes(SHORT_BODY_BYTES);
             ScriptedServer.write(socket, responseOf(run, 1));
@@ -279,7 +279,8 @@
             int bodyBytes = random.nextInt(3) == 0 ? LONG_BODY_BYTES : SHORT_BODY_BYTES;
             int cancelAfterMs = random.nextInt(4) == 0 ? 1 + random.nextInt(10) : 0;
             runs.set(0);
-            try (ScriptedServer server = new ScriptedServer((socket, in) -> play(script, socket, in))) {
+            try (ScriptedServer server =
+                    ScriptedServer.startWithSmallBuffer((socket, in) -> play(script, socket, in))) {
                 Result result = send(server, bodyBytes, SHORT_TIMEOUT_MS, cancelAfterMs);
                 check("seed " + seed + ": " + script + ", " + bodyBytes + " bytes: " + result, script, result);
             }
--- a/src/test/java/quartzspan/http/LoopbackPeers.java
+++ b/src/test/java/quartzspan/http/LoopbackPeers.java
@@ -17,7 +17,6 @@
 import java.util.Locale;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -87,45 +86,30 @@
 
     /** A listening peer: adds each request to {@link #received}, then passes it to the script. */
     public static final class Server implements AutoCloseable {
-        public final ServerSocket socket;
         public final BlockingQueue<ReceivedRequest> received = new LinkedBlockingQueue<>();
-        public final List<Socket> connections = new CopyOnWriteArrayList<>();
+        public final ServerSocket socket;
+        public final List<Socket> connections;
+        private final ScriptedServer server = new ScriptedServer(this::serve);
         private final Consumer<ReceivedRequest> script;
 
+        /** Starts a server that passes each request to the script. */
         public Server(Consumer<ReceivedRequest> script) throws IOException {
             this.script = script;
-            this.socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-            start(this::accept);
+            this.socket = server.socket;
+            this.connections = server.connections;
+            server.start();
         }
 
         public String address() {
             return "127.0.0.1:" + socket.getLocalPort();
         }
 
-        private static void start(Runnable task) {
-            Thread thread = new Thread(task);
-            thread.setDaemon(true);
-            thread.start();
-        }
-
-        private void accept() {
-            try {
-                while (true) {
-                    Socket s = socket.accept();
-                    connections.add(s);
-                    start(() -> serve(s));
-                }
-            } catch (IOException e) {
-                // The server socket was closed: the test is over.
-            }
-        }
-
-        private void serve(Socket s) {
+        private void serve(Socket connection, InputStream bytes) {
             CompletableFuture<Void> ended = new CompletableFuture<>();
             try {
-                InputStream in = new BufferedInputStream(s.getInputStream());
+                InputStream in = new BufferedInputStream(bytes);
                 while (true) {
-                    ReceivedRequest request = new ReceivedRequest(read(in), s, ended);
+                    ReceivedRequest request = new ReceivedRequest(read(in), connection, ended);
                     received.add(request);
                     script.accept(request);
                 }
@@ -136,10 +120,7 @@
 
         @Override
         public void close() throws IOException {
-            socket.close();
-            for (Socket s : connections) {
-                s.close();
-            }
+            server.close();
         }
     }
 
--- a/src/test/java/quartzspan/http/ScriptedServer.java
+++ b/src/test/java/quartzspan/http/ScriptedServer.java
@@ -10,12 +10,10 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 
-/**
- * A server with a small receive buffer that reads as little of each request as its script says, so that the rest of a long body
- * stays unsent. One thread serves each connection.
- */
+/** A server whose connections are each served by a script, in a thread of their own. */
 public final class ScriptedServer implements AutoCloseable {
-    private static final int RECEIVE_BUFFER_BYTES = 4_096;
+    private static final int SMALL_RECEIVE_BUFFER_BYTES = 4_096;
+    private static final int BACKLOG = 50;
 
     /** Handles the requests of a connection, from its first byte on. */
     public interface Script {
@@ -23,13 +21,25 @@
     }
 
     public final ServerSocket socket = new ServerSocket();
-    private final List<Socket> connections = new CopyOnWriteArrayList<>();
+    public final List<Socket> connections = new CopyOnWriteArrayList<>();
     private final Script script;
 
+    /** Creates a server that does not listen yet. */
     public ScriptedServer(Script script) throws IOException {
         this.script = script;
-        socket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
-        socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    }
+
+    /** Starts a server with a small receive buffer: what its script does not read of a long body stays unsent. */
+    public static ScriptedServer startWithSmallBuffer(Script script) throws IOException {
+        ScriptedServer server = new ScriptedServer(script);
+        server.socket.setReceiveBufferSize(SMALL_RECEIVE_BUFFER_BYTES);
+        server.start();
+        return server;
+    }
+
+    /** Listens at a free port of the loopback address. */
+    public void start() throws IOException {
+        socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), BACKLOG);
         start(this::accept);
     }
 
