--- a/src/main/java/quartzspan/http/HttpServer.java
+++ b/src/main/java/quartzspan/http/HttpServer.java
@@ -70,7 +70,7 @@
      * @param maxBodyBytes maximum size of a request body
      * @param idleTimeoutMs how long a connection may have no request in flight
      * @param requestTimeoutMs how long receiving a complete request may take
-     * @param maxBodyMemoryBytes memory for the bodies of all clients together; a request whose body does not fit is rejected
+     * @param maxRequestMemoryBytes memory for the bodies of all clients together; a request whose body does not fit is rejected
      */
     public record ConnectionLimits(
             int maxConnections,
@@ -78,7 +78,7 @@
             int maxBodyBytes,
             long idleTimeoutMs,
             long requestTimeoutMs,
-            long maxBodyMemoryBytes) {
+            long maxRequestMemoryBytes) {
         /** Limits with half of the heap as memory for bodies. */
         public ConnectionLimits(
                 int maxConnections, int maxHeaderBytes, int maxBodyBytes, long idleTimeoutMs, long requestTimeoutMs) {
@@ -136,7 +136,7 @@
     /** Connections with a partly received request, oldest request first. */
     private final LinkedHashSet<ClientConnection> receivingConnections = new LinkedHashSet<>();
 
-    private final BodyMemory bodyMemory;
+    private final RequestMemory requestMemory;
     private Channel listener;
     private boolean draining;
     private boolean closingAfterResponses;
@@ -148,7 +148,7 @@
         this.handler = handler;
         this.loop = loop;
         this.limits = handler.limits();
-        this.bodyMemory = new BodyMemory(limits.maxBodyMemoryBytes());
+        this.requestMemory = new RequestMemory(limits.maxRequestMemoryBytes());
         this.clients = new DefaultChannelGroup(loop);
     }
 
@@ -177,7 +177,7 @@
                     @Override
                     protected void initChannel(SocketChannel ch) {
                         limits = handler.limits();
-                        bodyMemory.setLimit(limits.maxBodyMemoryBytes());
+                        requestMemory.setLimit(limits.maxRequestMemoryBytes());
                         ClientConnection client = new ClientConnection(ch);
                         ch.pipeline()
                                 .addLast(
@@ -295,8 +295,8 @@
     }
 
     /** The account of the memory for bodies. */
-    BodyMemory bodyMemory() {
-        return bodyMemory;
+    RequestMemory requestMemory() {
+        return requestMemory;
     }
 
     /** Whether no request is in flight or being received. */
@@ -396,7 +396,7 @@
                 head = request;
                 receivingSinceNanos = System.nanoTime();
                 receivingConnections.add(this);
-                body = new RequestBody(bodyMemory, maxBodyBytes(request));
+                body = new RequestBody(requestMemory, maxBodyBytes(request));
                 sendContinue();
             }
         }
@@ -447,7 +447,7 @@
             receivingConnections.remove(this);
             head = null;
             if (body != null) {
-                bodyMemory.release(body.reservedBytes());
+                requestMemory.release(body.reservedBytes());
                 body = null;
             }
         }
@@ -486,7 +486,7 @@
                     && !inputRejected
                     && (queuedRequests.size() >= MAX_PIPELINED_REQUESTS
                             || pendingBytes() >= MAX_PIPELINED_BYTES
-                            || bodyMemory.isScarce());
+                            || requestMemory.isScarce());
             channel.config().setAutoRead(!queueFull);
             if (queueFull && !peekScheduled) {
                 peekScheduled = true;
@@ -588,7 +588,7 @@
                 respondingConnections--;
                 responding = false;
             }
-            bodyMemory.release(inFlightBytes);
+            requestMemory.release(inFlightBytes);
             inFlightBytes = 0;
             if (last && written.isSuccess() && discardingBody) {
                 // Closing with unread input would reset the connection before the client has read the response.
@@ -683,7 +683,7 @@
             idleConnections.remove(this);
             stopReceiving();
             queuedRequests.clear();
-            bodyMemory.release(queuedBytes + inFlightBytes);
+            requestMemory.release(queuedBytes + inFlightBytes);
             queuedBytes = 0;
             inFlightBytes = 0;
             if (responding) {
--- a/src/main/java/quartzspan/http/RequestBody.java
+++ b/src/main/java/quartzspan/http/RequestBody.java
@@ -5,20 +5,20 @@
 
 /**
  * The body of a request that is being received. Its buffer grows with what arrives, up to the declared length, and each growth is
- * reserved in the account of {@link BodyMemory} first.
+ * reserved in the account of {@link RequestMemory} first.
  */
 final class RequestBody {
     private static final int INITIAL_BYTES = 2 * 1024;
     private static final byte[] EMPTY = {};
 
-    private final BodyMemory memory;
+    private final RequestMemory memory;
     /** The most that the body may have: its declared length, or the limit for bodies of unknown length. */
     private final int maxBytes;
 
     private byte[] bytes = EMPTY;
     private int length;
 
-    RequestBody(BodyMemory memory, int maxBytes) {
+    RequestBody(RequestMemory memory, int maxBytes) {
         this.memory = memory;
         this.maxBytes = maxBytes;
     }
--- a/src/main/java/quartzspan/http/BodyMemory.java
+++ b/src/main/java/quartzspan/http/RequestMemory.java
@@ -5,7 +5,7 @@
  * response to its request is complete or its client has disconnected. A body that does not fit is not stored. Confined to one
  * event loop.
  */
-final class BodyMemory {
+final class RequestMemory {
     /** Bodies up to this size, in bytes, may use the whole account; the rest of longer ones must leave a part to them. */
     static final int SHORT_BODY_BYTES = 16 * 1024;
     /** The part of the account that longer bodies may use. */
@@ -14,7 +14,7 @@
     private long limitBytes;
     private long reservedBytes;
 
-    BodyMemory(long limitBytes) {
+    RequestMemory(long limitBytes) {
         this.limitBytes = limitBytes;
     }
 
