--- a/src/main/java/quartzspan/clientproxy/ClientProxy.java
+++ b/src/main/java/quartzspan/clientproxy/ClientProxy.java
@@ -24,10 +24,12 @@
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import quartzspan.http.Clock;
+import quartzspan.http.ConnectionLimits;
 import quartzspan.http.ConnectionPool;
 import quartzspan.http.HttpFraming;
 import quartzspan.http.HttpServer;
 import quartzspan.http.OutgoingRequest;
+import quartzspan.http.RequestHandler;
 import quartzspan.loadbalancing.LoadBalancer;
 import quartzspan.loadbalancing.LoadBalancer.AttemptEnd;
 import quartzspan.loadbalancing.LoadBalancer.DedupScope;
@@ -42,7 +44,7 @@
  * The network side of the client proxy: reports socket events to the {@link LoadBalancer} and carries out its
  * decisions. A single event-loop thread owns all state, so there is no locking and nothing may block.
  */
-public final class ClientProxy implements LoadBalancer.Actions, HttpServer.RequestHandler {
+public final class ClientProxy implements LoadBalancer.Actions, RequestHandler {
     /** The response is sent this long before the client's deadline, to cover transit and a busy CPU. */
     private static final long RESPONSE_MARGIN_US = 25_000;
     /** The load balancer's budget ends this much earlier, so that its decision precedes the response timeout. */
@@ -83,7 +85,7 @@
     private final Clock clock = new Clock();
     private final ConnectionPool upstream;
     private final Discovery discovery;
-    private final HttpServer.ConnectionLimits connectionLimits;
+    private final ConnectionLimits connectionLimits;
     private final HttpServer httpServer;
     private final Map<String, Integer> classIndexes = new HashMap<>();
     private final Map<String, Exchange> openRequests = new HashMap<>();
@@ -130,7 +132,7 @@
                 handleWatchFailure();
             }
         });
-        this.connectionLimits = new HttpServer.ConnectionLimits(
+        this.connectionLimits = new ConnectionLimits(
                 maxConnections,
                 HttpFraming.MAX_HEADER_BYTES,
                 HttpFraming.MAX_BODY_BYTES,
@@ -306,7 +308,7 @@
     }
 
     @Override
-    public HttpServer.ConnectionLimits limits() {
+    public ConnectionLimits limits() {
         return connectionLimits;
     }
 
--- a/src/main/java/quartzspan/controlplane/ControlPlane.java
+++ b/src/main/java/quartzspan/controlplane/ControlPlane.java
@@ -17,8 +17,10 @@
 import quartzspan.common.PeriodicTask;
 import quartzspan.common.Settings;
 import quartzspan.http.Clock;
+import quartzspan.http.ConnectionLimits;
 import quartzspan.http.ConnectionPool;
 import quartzspan.http.HttpServer;
+import quartzspan.http.RequestHandler;
 import quartzspan.prefixcache.PrefixCacheUpdate;
 import quartzspan.registry.CoreMachine;
 import quartzspan.registry.GossipMessage;
@@ -33,7 +35,7 @@
  * operators, and sends updates to the proxies. One event loop owns all of its state; only disk I/O runs on a thread of its
  * own.
  */
-public final class ControlPlane implements HttpServer.RequestHandler {
+public final class ControlPlane implements RequestHandler {
     private static final Logger LOG = LoggerFactory.getLogger(ControlPlane.class);
     private static final int TICK_INTERVAL_MS = 50;
     private static final int MAX_HEADER_BYTES = 32 * 1024;
@@ -55,7 +57,7 @@
     private final ReplicaHost replicaHost;
     private final Replica replica;
     private final HttpServer httpServer;
-    private final HttpServer.ConnectionLimits connectionLimits;
+    private final ConnectionLimits connectionLimits;
     private final ConnectionPool connectionPool;
     private final RequestRouter router;
     private final String self;
@@ -69,7 +71,7 @@
         this.group = group;
         this.loop = loop;
         this.self = hostAndPort(settings.internalAddress());
-        this.connectionLimits = new HttpServer.ConnectionLimits(
+        this.connectionLimits = new ConnectionLimits(
                 Math.max(MIN_CLIENT_CONNECTIONS, settings.fileDescriptors() / 2),
                 MAX_HEADER_BYTES,
                 MAX_BODY_BYTES,
@@ -186,7 +188,7 @@
     }
 
     @Override
-    public HttpServer.ConnectionLimits limits() {
+    public ConnectionLimits limits() {
         return connectionLimits;
     }
 
--- a/src/main/java/quartzspan/frontend/FrontendProxy.java
+++ b/src/main/java/quartzspan/frontend/FrontendProxy.java
@@ -23,8 +23,10 @@
 import quartzspan.configuration.Configuration.Route;
 import quartzspan.configuration.Configuration.Tenant;
 import quartzspan.http.Clock;
+import quartzspan.http.ConnectionLimits;
 import quartzspan.http.ConnectionPool;
 import quartzspan.http.HttpServer;
+import quartzspan.http.RequestHandler;
 import quartzspan.loadbalancing.RetryBudget;
 import quartzspan.prefixcache.PrefixCacheIndex;
 import quartzspan.prefixcache.PrefixCacheUpdate;
@@ -36,7 +38,7 @@
  * The proxy on a frontend machine: accepts client requests, looks up their route and tenant in the configuration, and forwards
  * them to the model server that the load balancer selects. All of its state is owned by one event loop.
  */
-public final class FrontendProxy implements HttpServer.RequestHandler {
+public final class FrontendProxy implements RequestHandler {
     private static final Logger LOG = LoggerFactory.getLogger(FrontendProxy.class);
     private static final int TICK_INTERVAL_MS = 100;
     /** File descriptors reserved for files and for connections between the system's own processes. */
@@ -267,9 +269,9 @@
     }
 
     @Override
-    public HttpServer.ConnectionLimits limits() {
+    public ConnectionLimits limits() {
         Configuration.Limits limits = configuration().limits();
-        return new HttpServer.ConnectionLimits(
+        return new ConnectionLimits(
                 memory.maxConnections(),
                 limits.maxHeaderBytes() + HEADER_MARGIN_BYTES,
                 limits.maxBodyBytes(),
--- a/src/main/java/quartzspan/frontend/ReadinessHandler.java
+++ b/src/main/java/quartzspan/frontend/ReadinessHandler.java
@@ -4,13 +4,14 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.function.BooleanSupplier;
 import quartzspan.http.Clock;
+import quartzspan.http.ConnectionLimits;
 import quartzspan.http.HttpServer;
+import quartzspan.http.RequestHandler;
 
 /** Responds to the platform's readiness checks. */
-final class ReadinessHandler implements HttpServer.RequestHandler {
+final class ReadinessHandler implements RequestHandler {
     private static final String PATH = "/quartzspan/readiness";
-    private static final HttpServer.ConnectionLimits LIMITS =
-            new HttpServer.ConnectionLimits(64, 8 * 1024, 8 * 1024, 30_000, 5_000);
+    private static final ConnectionLimits LIMITS = new ConnectionLimits(64, 8 * 1024, 8 * 1024, 30_000, 5_000);
 
     private final Clock clock;
     private final BooleanSupplier ready;
@@ -36,7 +37,7 @@
     }
 
     @Override
-    public HttpServer.ConnectionLimits limits() {
+    public ConnectionLimits limits() {
         return LIMITS;
     }
 }
--- a/src/main/java/quartzspan/http/HttpServer.java
+++ b/src/main/java/quartzspan/http/HttpServer.java
@@ -50,48 +50,6 @@
  * </pre>
  */
 public final class HttpServer {
-    /** Handles requests. All methods are called on the event loop. */
-    public interface RequestHandler {
-        /** The current time, microseconds. */
-        long now();
-
-        /** Handles a complete request, which must be answered exactly once, immediately or later. */
-        void onRequest(ClientConnection client, HttpRequest request, byte[] body, long receivedAtUs);
-
-        /** The limits on client connections; read again for each new connection. */
-        ConnectionLimits limits();
-    }
-
-    /**
-     * Limits on client connections.
-     *
-     * @param maxConnections maximum number of open connections
-     * @param maxHeaderBytes maximum size of a request head
-     * @param maxBodyBytes maximum size of a request body
-     * @param idleTimeoutMs how long a connection may have no request in flight
-     * @param requestTimeoutMs how long receiving a complete request may take
-     * @param maxRequestMemoryBytes memory for the bodies of all clients together; a request whose body does not fit is rejected
-     */
-    public record ConnectionLimits(
-            int maxConnections,
-            int maxHeaderBytes,
-            int maxBodyBytes,
-            long idleTimeoutMs,
-            long requestTimeoutMs,
-            long maxRequestMemoryBytes) {
-        /** Limits with half of the heap as memory for bodies. */
-        public ConnectionLimits(
-                int maxConnections, int maxHeaderBytes, int maxBodyBytes, long idleTimeoutMs, long requestTimeoutMs) {
-            this(
-                    maxConnections,
-                    maxHeaderBytes,
-                    maxBodyBytes,
-                    idleTimeoutMs,
-                    requestTimeoutMs,
-                    Runtime.getRuntime().maxMemory() / 2);
-        }
-    }
-
     /**
      * Limits on pipelined requests and body bytes of one client; reading from it pauses at either (backpressure), and where a
      * complete request is pending also while the memory for bodies is scarce.
--- a/src/main/java/quartzspan/localrun/Main.java
+++ b/src/main/java/quartzspan/localrun/Main.java
@@ -23,8 +23,10 @@
 import java.util.stream.Stream;
 import quartzspan.common.Settings;
 import quartzspan.configuration.Configuration;
+import quartzspan.http.ConnectionLimits;
 import quartzspan.http.ConnectionPool;
 import quartzspan.http.HttpServer;
+import quartzspan.http.RequestHandler;
 
 /**
  * Starts a core machine, a proxy and a simulated server on loopback in one process, sends a few requests through the proxy and
@@ -178,7 +180,7 @@
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         EventLoop loop = group.next();
         HttpServer server = loop.submit(() -> new HttpServer(
-                        new HttpServer.RequestHandler() {
+                        new RequestHandler() {
                             @Override
                             public long now() {
                                 return System.nanoTime() / 1000;
@@ -203,8 +205,8 @@
                             }
 
                             @Override
-                            public HttpServer.ConnectionLimits limits() {
-                                return new HttpServer.ConnectionLimits(64, 16 * 1024, 64 * 1024, 30_000, 30_000);
+                            public ConnectionLimits limits() {
+                                return new ConnectionLimits(64, 16 * 1024, 64 * 1024, 30_000, 30_000);
                             }
                         },
                         loop))
--- a/src/test/java/quartzspan/http/HttpServerMemoryTest.java
+++ b/src/test/java/quartzspan/http/HttpServerMemoryTest.java
@@ -50,7 +50,7 @@
     private final List<WeakReference<byte[]>> bodies = new CopyOnWriteArrayList<>();
 
     /** Answers requests at once, but holds those with the path {@link #HOLD}. */
-    private final class Handler implements HttpServer.RequestHandler {
+    private final class Handler implements RequestHandler {
         @Override
         public long now() {
             return System.nanoTime() / 1_000;
@@ -80,8 +80,8 @@
         }
 
         @Override
-        public HttpServer.ConnectionLimits limits() {
-            return new HttpServer.ConnectionLimits(200, 8_192, MAX_BODY_BYTES, 30_000, 10_000, MEMORY_BYTES);
+        public ConnectionLimits limits() {
+            return new ConnectionLimits(200, 8_192, MAX_BODY_BYTES, 30_000, 10_000, MEMORY_BYTES);
         }
     }
 
@@ -164,7 +164,8 @@
         assertEquals(503, rejection.status());
         assertTrue(Double.parseDouble(rejection.header("retry-after")) > 0, "it says when to come back");
         assertEquals(BODY_BYTES, reservedBytes(), "of the rejected body nothing is kept");
-        assertEquals(200, post(second, "/", RequestMemory.SHORT_BODY_BYTES).read().status(), "a short body fits");
+        assertEquals(
+                200, post(second, "/", RequestMemory.SHORT_BODY_BYTES).read().status(), "a short body fits");
         loop.submit(() -> first.answer(HttpResponseStatus.OK)).get();
         awaitReservedBytes(0);
         assertEquals(200, post(second, "/", BODY_BYTES).read().status());
--- a/src/test/java/quartzspan/http/HttpServerTest.java
+++ b/src/test/java/quartzspan/http/HttpServerTest.java
@@ -28,7 +28,7 @@
         EventLoop loop = group.next();
         try {
             HttpServer server = loop.submit(() -> new HttpServer(
-                            new HttpServer.RequestHandler() {
+                            new RequestHandler() {
                                 @Override
                                 public long now() {
                                     return System.nanoTime() / 1000;
@@ -46,8 +46,8 @@
                                 }
 
                                 @Override
-                                public HttpServer.ConnectionLimits limits() {
-                                    return new HttpServer.ConnectionLimits(8, 8_192, 8_192, 30_000, 100);
+                                public ConnectionLimits limits() {
+                                    return new ConnectionLimits(8, 8_192, 8_192, 30_000, 100);
                                 }
                             },
                             loop))
@@ -78,7 +78,7 @@
         AtomicInteger handledRequests = new AtomicInteger();
         try {
             HttpServer server = loop.submit(() -> new HttpServer(
-                            new HttpServer.RequestHandler() {
+                            new RequestHandler() {
                                 @Override
                                 public long now() {
                                     return System.nanoTime() / 1000;
@@ -95,8 +95,8 @@
                                 }
 
                                 @Override
-                                public HttpServer.ConnectionLimits limits() {
-                                    return new HttpServer.ConnectionLimits(8, 8_192, 8_192, 30_000, 10_000);
+                                public ConnectionLimits limits() {
+                                    return new ConnectionLimits(8, 8_192, 8_192, 30_000, 10_000);
                                 }
                             },
                             loop))
--- a/src/test/java/quartzspan/soak/ModelServer.java
+++ b/src/test/java/quartzspan/soak/ModelServer.java
@@ -19,15 +19,17 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import quartzspan.configuration.JsonFields;
+import quartzspan.http.ConnectionLimits;
 import quartzspan.http.ConnectionPool;
 import quartzspan.http.HttpServer;
+import quartzspan.http.RequestHandler;
 
 /**
  * A simulated model server, from its start to its shutdown or crash: runs up to 16 requests at once, each as an event stream,
  * queues up to 48 more and, when ordered, loads weights after the running requests have ended. Its state is confined to one
  * event loop.
  */
-final class ModelServer implements HttpServer.RequestHandler {
+final class ModelServer implements RequestHandler {
     static final String MODEL = "m";
     /** Request header: number of events in the response. */
     static final String EVENT_COUNT_HEADER = "x-soak-events";
@@ -39,8 +41,7 @@
     private static final int MAX_QUEUED = 48;
     private static final long LOAD_DURATION_MS = 500;
     private static final long KV_EVENTS_POLL_TIMEOUT_MS = 900;
-    private static final HttpServer.ConnectionLimits LIMITS =
-            new HttpServer.ConnectionLimits(2_000, 32 * 1024, 64 * 1024, 20_000, 20_000);
+    private static final ConnectionLimits LIMITS = new ConnectionLimits(2_000, 32 * 1024, 64 * 1024, 20_000, 20_000);
 
     private final String id;
     private final EventLoop loop;
@@ -113,7 +114,7 @@
     }
 
     @Override
-    public HttpServer.ConnectionLimits limits() {
+    public ConnectionLimits limits() {
         return LIMITS;
     }
 
