Transport: inbound connections and incomplete frames are bounded

What callers saw: strangers at an internal port used up a process's descriptors, or its heap: no request was answered for 90 s.

Cause: any number of connections was accepted, and each could buffer a frame of 16 MiB before its peer had said who it is.

Why this works: InboundLimits bounds connections (a fifth of the descriptors of a core machine, an eighth of a proxy's) and the buffers of incomplete frames (an eighth of the heap; a single frame is always received). Incarnations of at most 4,096 addresses are kept, an announced length no longer allocates, and strangers cause one warning a second without a trace.

--- a/src/main/java/quartzspan/controlplane/ControlPlane.java
+++ b/src/main/java/quartzspan/controlplane/ControlPlane.java
@@ -42,6 +42,8 @@
     private static final int MAX_BODY_BYTES = 12 * 1024 * 1024;
     private static final int CLIENT_TIMEOUT_MS = 30_000;
     private static final int MIN_CLIENT_CONNECTIONS = 64;
+    /** One in so many file descriptors may be a connection that another of the system's processes has opened. */
+    private static final int DESCRIPTORS_PER_INTERNAL_CONNECTION = 5;
     private static final int SERVER_CONNECT_TIMEOUT_US = 500_000;
     private static final int SERVER_IDLE_TIMEOUT_US = 2_000_000;
     private static final int MAX_SERVER_CONNECTIONS = 256;
@@ -79,7 +81,11 @@
                 CLIENT_TIMEOUT_MS);
         List<String> seeds = internalSeeds(settings);
         String control = hostAndPort(settings.listenAddress("control_plane"));
-        this.transport = new TcpTransport(loop, new Hello(true, self, control, settings.zone()), this::onMessage);
+        this.transport = new TcpTransport(
+                loop,
+                new Hello(true, self, control, settings.zone()),
+                this::onMessage,
+                settings.fileDescriptors() / DESCRIPTORS_PER_INTERNAL_CONNECTION);
         this.replicaHost = new ReplicaHost(settings, self, seeds, loop, this::nowMs, transport, this::onStateCommitted);
         this.replica = replicaHost.replica();
         this.connectionPool =
--- a/src/main/java/quartzspan/frontend/FrontendProxy.java
+++ b/src/main/java/quartzspan/frontend/FrontendProxy.java
@@ -43,6 +43,8 @@
     private static final int TICK_INTERVAL_MS = 100;
     /** File descriptors reserved for files and for connections between the system's own processes. */
     private static final int RESERVED_DESCRIPTORS = 300;
+    /** One in so many file descriptors may be a connection that another of the system's processes has opened. */
+    private static final int DESCRIPTORS_PER_INTERNAL_CONNECTION = 8;
 
     private static final int CONNECT_TIMEOUT_US = 400_000;
     /** Idle timeout of the servers; the pool closes idle connections before the servers do. */
@@ -99,7 +101,11 @@
         this.connectionPool =
                 new ConnectionPool(loop, CONNECT_TIMEOUT_US, SERVER_IDLE_TIMEOUT_US, maxServerConnections);
         this.transport =
-                new TcpTransport(loop, new Hello(false, internalAddress, "", settings.zone()), this::onMessage);
+                new TcpTransport(
+                        loop,
+                        new Hello(false, internalAddress, "", settings.zone()),
+                        this::onMessage,
+                        settings.fileDescriptors() / DESCRIPTORS_PER_INTERNAL_CONNECTION);
         this.fleet = new FleetView(
                 settings,
                 internalAddress,
--- a/src/main/java/quartzspan/transport/InboundConnections.java
+++ b/src/main/java/quartzspan/transport/InboundConnections.java
@@ -1,7 +1,6 @@
 package quartzspan.transport;
 
 import java.util.Collections;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
@@ -16,6 +15,10 @@
 final class InboundConnections {
     /** Maximum number of replaced incarnations kept for each address. */
     private static final int MAX_REPLACED_INCARNATIONS = 16;
+    /** Maximum number of addresses; the one that has been silent for longest is forgotten. Several times the largest fleet. */
+    static final int MAX_PEERS = 4_096;
+    /** The share of its size to which a hash table is filled before it grows. */
+    private static final float LOAD_FACTOR = 0.75f;
 
     private static final class Peer {
         long incarnation;
@@ -31,7 +34,14 @@
         });
     }
 
-    private final Map<String, Peer> peers = new HashMap<>();
+    private final Map<String, Peer> peers = new LinkedHashMap<>(MAX_REPLACED_INCARNATIONS, LOAD_FACTOR, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Peer> eldest) {
+            return size() > MAX_PEERS;
+        }
+    };
     private long lastConnectionNumber;
 
     /** The number for a newly accepted connection; numbers increase. */
--- a/src/main/java/quartzspan/transport/MessageCodec.java
+++ b/src/main/java/quartzspan/transport/MessageCodec.java
@@ -161,7 +161,8 @@
         if (epoch == null || promisedEpoch == null || logEpoch == null || membership == null) {
             throw malformed("epoch or membership is invalid");
         }
-        byte[] body = new byte[checkedLength(decoder.bodyLength(), MAX_FRAME_BYTES)];
+        byte[] body =
+                new byte[checkedLength(decoder.bodyLength(), decoder.buffer().capacity())];
         decoder.getBody(body, 0, body.length);
         return new ReplicaMessage(
                 ReplicaMessage.Kind.values()[kind],
--- a/src/main/java/quartzspan/transport/TcpTransport.java
+++ b/src/main/java/quartzspan/transport/TcpTransport.java
@@ -14,7 +14,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
@@ -45,6 +45,10 @@
     private static final long RECONNECT_INTERVAL_MS = 200;
     private static final int MAX_QUEUED_MESSAGES = 64;
     private static final int MAX_UNSENT_BYTES = 4 * 1024 * 1024;
+    /** Minimum time between two warnings about peers that have not introduced themselves. */
+    private static final long WARNING_INTERVAL_MS = 1_000;
+    /** The part of the heap for frames that are being received. */
+    private static final int HEAP_PARTS_PER_FRAME_MEMORY = 8;
 
     private final EventLoop loop;
     private final Hello self;
@@ -53,6 +57,8 @@
     private final Bootstrap clientBootstrap;
     private final FrameWriter frameWriter = new FrameWriter();
     private final InboundConnections inboundConnections = new InboundConnections();
+    private final InboundLimits inboundLimits;
+    private long lastWarningMs;
 
     private static final class OutgoingConnection {
         Channel channel;
@@ -65,11 +71,17 @@
         final ArrayDeque<byte[]> queuedFrames = new ArrayDeque<>();
     }
 
-    /** Creates a transport without connections. Must be called on the event loop. */
-    public TcpTransport(EventLoop loop, Hello self, Receiver receiver) {
+    /**
+     * Creates a transport without connections. Must be called on the event loop.
+     *
+     * @param maxInboundConnections the most connections that other processes may open
+     */
+    public TcpTransport(EventLoop loop, Hello self, Receiver receiver, int maxInboundConnections) {
         this.loop = loop;
         this.self = self;
         this.receiver = receiver;
+        this.inboundLimits = new InboundLimits(
+                maxInboundConnections, Runtime.getRuntime().maxMemory() / HEAP_PARTS_PER_FRAME_MEMORY);
         this.clientBootstrap = new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
@@ -105,25 +117,44 @@
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel ch) {
-                        ch.pipeline()
-                                .addLast(
-                                        new LengthFieldBasedFrameDecoder(MessageCodec.MAX_FRAME_BYTES, 0, 4, 0, 4),
-                                        new InboundHandler());
+                        InboundHandler handler = new InboundHandler(ch);
+                        ch.pipeline().addLast(handler.decoder, handler);
+                        inboundLimits.onOpened(handler);
                     }
                 })
                 .bind(address);
     }
 
     /** Receives the messages of one inbound connection; a malformed message closes it. */
-    private final class InboundHandler extends SimpleChannelInboundHandler<ByteBuf> {
+    private final class InboundHandler extends SimpleChannelInboundHandler<byte[]> implements InboundLimits.Connection {
+        private final Channel channel;
+        private final FrameDecoder decoder = new FrameDecoder(this::onInput);
         private final long connectionNumber = inboundConnections.nextConnectionNumber();
         private Hello from;
 
+        InboundHandler(Channel channel) {
+            this.channel = channel;
+        }
+
+        private void onInput(int bufferBytes) {
+            inboundLimits.onInput(this, bufferBytes);
+        }
+
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) {
-            byte[] bytes = new byte[frame.readableBytes()];
-            frame.readBytes(bytes);
-            Object message = MessageCodec.decode(bytes);
+        public void close() {
+            inboundLimits.onClosed(this);
+            decoder.discard();
+            channel.close();
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            inboundLimits.onClosed(this);
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, byte[] frame) {
+            Object message = MessageCodec.decode(frame);
             if (from == null) {
                 if (!(message instanceof Hello hello)) {
                     throw new FleetException(
@@ -132,10 +163,11 @@
                             "run the same version on all machines");
                 }
                 from = hello;
+                inboundLimits.onIdentified(this);
                 return;
             }
             if (!inboundConnections.isCurrent(from, connectionNumber)) {
-                ctx.close();
+                close();
                 return;
             }
             OutgoingConnection connection = outgoingConnections.get(from.address());
@@ -147,13 +179,22 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            if (!(cause instanceof java.io.IOException)) {
+            if (!(cause instanceof IOException)) {
+                warn(ctx, cause);
+            }
+            close();
+        }
+
+        private void warn(ChannelHandlerContext ctx, Throwable cause) {
+            if (from != null) {
+                LOG.warn("closing the connection from {} after an error", from.address(), cause);
+            } else if (nowMs() - lastWarningMs >= WARNING_INTERVAL_MS) {
+                lastWarningMs = nowMs();
                 LOG.warn(
-                        "closing the connection from {} after an error",
-                        from == null ? ctx.channel().remoteAddress() : from.address(),
-                        cause);
+                        "closing the connection from {}, which has not introduced itself: {}",
+                        ctx.channel().remoteAddress(),
+                        cause.toString());
             }
-            ctx.close();
         }
     }
 
--- a/src/test/java/quartzspan/transport/TransportContractTest.java
+++ b/src/test/java/quartzspan/transport/TransportContractTest.java
@@ -33,6 +33,7 @@
 
 /** The contract of the TCP transport and of the one in memory, and the handling of malformed input over TCP. */
 class TransportContractTest {
+    private static final int MAX_INBOUND_CONNECTIONS = 64;
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
 
@@ -88,7 +89,7 @@
 
     private Transport tcpTransport(Hello self, Transport.Receiver receiver) {
         try {
-            TcpTransport transport = new TcpTransport(loop, self, receiver);
+            TcpTransport transport = new TcpTransport(loop, self, receiver, MAX_INBOUND_CONNECTIONS);
             int colon = self.address().indexOf(':');
             assertTrue(transport
                     .listen(new InetSocketAddress(
