Control plane: documents are bounded by what their parsed form takes

What callers saw: a document of 4 MB to any call of a core machine ended it (heap).

Cause: only the size of a body was bounded. Parsed, "{}," or "1," takes many times its three or two bytes.

Why this works: DocumentLimits counts the values of a body before it is parsed, and refuses with 413 (DOCUMENT_TOO_LARGE) more than one for each 512 bytes of heap (262,144 with the usual 128 MiB), or a text of over 64 KiB.

--- a/src/main/java/quartzspan/common/FleetException.java
+++ b/src/main/java/quartzspan/common/FleetException.java
@@ -16,7 +16,8 @@
         CONFIG_STALE(7, 412),
         NOT_PRIMARY(8, 503),
         ORDER_FORGOTTEN(8, 503),
-        MESSAGE_INVALID(9, 400);
+        MESSAGE_INVALID(9, 400),
+        DOCUMENT_TOO_LARGE(6, 413);
 
         private final int exitStatus;
         private final int httpStatus;
--- a/src/main/java/quartzspan/controlplane/ControlPlane.java
+++ b/src/main/java/quartzspan/controlplane/ControlPlane.java
@@ -16,6 +16,7 @@
 import quartzspan.common.FleetException;
 import quartzspan.common.PeriodicTask;
 import quartzspan.common.Settings;
+import quartzspan.configuration.DocumentLimits;
 import quartzspan.http.Clock;
 import quartzspan.http.ConnectionLimits;
 import quartzspan.http.ConnectionPool;
@@ -104,7 +105,8 @@
         ServerApi serverApi =
                 new ServerApi(this::nowMs, node.heartbeatHandler(), node.drainAcknowledger(), node::requiredDrainAcks);
         OperatorApi operatorApi = new OperatorApi(this::nowMs, replicaHost, node.registry());
-        return new RequestRouter()
+        return new RequestRouter(
+                        DocumentLimits.forHeap(Runtime.getRuntime().maxMemory()))
                 .addRoute("POST", "/quartzspan/Instances.Heartbeat/", serverApi::heartbeat)
                 .addRoute("POST", "/quartzspan/Instances.Deregister/", serverApi::deregister)
                 .addRoute("POST", "/quartzspan/Configuration.Replace", operatorApi::replace)
--- a/src/main/java/quartzspan/controlplane/RequestRouter.java
+++ b/src/main/java/quartzspan/controlplane/RequestRouter.java
@@ -11,6 +11,7 @@
 import org.slf4j.LoggerFactory;
 import quartzspan.common.FleetException;
 import quartzspan.common.JsonLines;
+import quartzspan.configuration.DocumentLimits;
 import quartzspan.http.ConnectionPool.Response;
 import quartzspan.http.HttpServer.ClientConnection;
 
@@ -29,6 +30,13 @@
      */
     private final Map<String, Handler> handlers = new LinkedHashMap<>();
 
+    private final DocumentLimits documentLimits;
+
+    /** @param documentLimits what the bodies of requests may contain */
+    RequestRouter(DocumentLimits documentLimits) {
+        this.documentLimits = documentLimits;
+    }
+
     /** Adds a route; a path that ends with a slash matches any one path segment after it. */
     RequestRouter addRoute(String method, String path, Handler handler) {
         handlers.put(key(method, path), handler);
@@ -45,6 +53,7 @@
         Handler exact = handlers.get(key(request.method().name(), path));
         Handler byPrefix = handlers.get(key(request.method().name(), path.substring(0, slash + 1)));
         try {
+            documentLimits.check(body);
             if (exact != null) {
                 exact.handle(client, request, body, "");
             } else if (byPrefix != null && slash + 1 < path.length()) {
