Registry: heartbeats can't fill the memory of the fleet

Found by reading; it was not made to fail on running processes. Each heartbeat or deregistration with a new id adds an entry, with texts of any length, that every process keeps for two minutes after it has ended, and two tables of heartbeats forgot none.

At most 16,384 servers are registered, those that ended lately included (503, REGISTRY_FULL), with texts of at most 256 characters (400), and heartbeats of processes whose entries are dropped are forgotten. Two new tests of HeartbeatHandler fail without the bounds; they were not run on the code before.

--- a/src/main/java/quartzspan/common/FleetException.java
+++ b/src/main/java/quartzspan/common/FleetException.java
@@ -17,7 +17,8 @@
         NOT_PRIMARY(8, 503),
         ORDER_FORGOTTEN(8, 503),
         MESSAGE_INVALID(9, 400),
-        DOCUMENT_TOO_LARGE(6, 413);
+        DOCUMENT_TOO_LARGE(6, 413),
+        REGISTRY_FULL(8, 503);
 
         private final int exitStatus;
         private final int httpStatus;
--- a/src/main/java/quartzspan/controlplane/HeartbeatHandler.java
+++ b/src/main/java/quartzspan/controlplane/HeartbeatHandler.java
@@ -19,6 +19,10 @@
      * intervals must be shorter than the timeout after which they do.
      */
     static final long MAX_STALENESS_MS = 1_200;
+    /** The most servers that are registered, with those that have ended lately. Several times the largest fleet. */
+    static final int MAX_SERVERS = 16_384;
+    /** The longest id, service, address, zone or model of a server, characters. */
+    static final int MAX_TEXT_LENGTH = 256;
 
     private final Registry registry;
     private final HeartbeatTracker heartbeats;
@@ -40,6 +44,7 @@
      * @throws FleetException if the server has to call another machine
      */
     RegistryEntry onHeartbeat(long now, String id, byte[] body) {
+        checkRoom(id);
         JsonObject json = JsonFields.parse(body);
         boolean draining = json.getString("state", "ready").equals("draining");
         RegistryEntry update = heartbeats.onServerHeartbeat(
@@ -65,10 +70,41 @@
 
     /** Applies a deregistration; returns the entry that other core machines must have before it is acknowledged. */
     RegistryEntry onDeregistration(long now, String id) {
+        checkRoom(id);
         RegistryEntry update = heartbeats.onDeregistered(now, id);
         return update != null ? update : registry.entry(RegistryEntry.Subject.SERVER, id);
     }
 
+    /** Rejects a server that would be one too many: its entry would be kept by every process of the fleet. */
+    private void checkRoom(String id) {
+        if (id.length() > MAX_TEXT_LENGTH) {
+            throw invalidField("the id is too long");
+        }
+        if (registry.entry(RegistryEntry.Subject.SERVER, id) == null
+                && registry.size(RegistryEntry.Subject.SERVER) >= MAX_SERVERS) {
+            throw new FleetException(
+                    FleetException.Code.REGISTRY_FULL,
+                    MAX_SERVERS + " servers are registered",
+                    "end what registers them; entries of ended servers are dropped after two minutes");
+        }
+    }
+
+    private static FleetException invalidField(String reason) {
+        return new FleetException(
+                FleetException.Code.MESSAGE_INVALID,
+                "heartbeat is invalid: " + reason,
+                "send service, address, zone, state, models and call_count as documented");
+    }
+
+    /** A text of a heartbeat; empty if it is missing. */
+    private static String text(JsonObject json, String field) {
+        String value = json.getString(field, "");
+        if (value.length() > MAX_TEXT_LENGTH) {
+            throw invalidField(field + " is too long");
+        }
+        return value;
+    }
+
     /**
      * The server that a heartbeat describes. A server whose weights may not be used any more is registered as loading.
      */
@@ -76,23 +112,20 @@
         String model = "";
         long weights = 0;
         if (json.get("models") instanceof JsonArray models && !models.isEmpty()) {
-            model = models.getJsonObject(0).getString("name", "");
+            model = text(models.getJsonObject(0), "name");
             weights = JsonFields.wholeNumber(models.getJsonObject(0), "version", 0);
         }
         String text = Server.encode(
-                json.getString("service", ""),
-                json.getString("address", ""),
-                json.getString("zone", ""),
+                text(json, "service"),
+                text(json, "address"),
+                text(json, "zone"),
                 model,
                 weights,
                 weights == 0 ? 0 : registry.weightsDeadlines().requiredVersion(now, model));
         Server server =
                 Server.of(new RegistryEntry(RegistryEntry.Subject.SERVER, id, 0, RegistryEntry.State.READY, text));
         if (server == null) {
-            throw new FleetException(
-                    FleetException.Code.MESSAGE_INVALID,
-                    "heartbeat has a missing or invalid field",
-                    "send service, address, zone, state, models and call_count as documented");
+            throw invalidField("a field is missing or invalid");
         }
         return server;
     }
--- a/src/main/java/quartzspan/registry/HeartbeatTracker.java
+++ b/src/main/java/quartzspan/registry/HeartbeatTracker.java
@@ -184,9 +184,19 @@
         }
         expired.removeIf(entry -> !registry.merge(now, entry));
         expired.forEach(entry -> proxyReportedAtMs.remove(entry.key()));
+        forget(now, RegistryEntry.Subject.SERVER, servers);
+        forget(now, RegistryEntry.Subject.PROXY, proxies);
         return expired;
     }
 
+    /** Forgets processes that have long been silent and whose entries the registry has dropped. */
+    private void forget(long now, RegistryEntry.Subject subject, Map<String, LastHeartbeat> heartbeats) {
+        heartbeats
+                .entrySet()
+                .removeIf(heartbeat -> now - heartbeat.getValue().atMs() > Registry.TOMBSTONE_TTL_MS
+                        && registry.entry(subject, heartbeat.getKey()) == null);
+    }
+
     /** Starts the timeout now if no message from the process was received before. */
     private static boolean hasTimedOut(long now, Map<String, LastHeartbeat> heartbeats, String key, long timeoutMs) {
         LastHeartbeat last = heartbeats.computeIfAbsent(key, absent -> new LastHeartbeat(now, 0));
--- a/src/main/java/quartzspan/registry/Registry.java
+++ b/src/main/java/quartzspan/registry/Registry.java
@@ -27,7 +27,7 @@
     /** Apply time of weights where the settings bound none: ten years. */
     private static final long UNBOUNDED_MS = 10L * 365 * 24 * 3600 * 1000;
     /** Retention of entries that are {@code GONE} or {@code LOST}, so that a delayed update does not restore them. */
-    private static final long TOMBSTONE_TTL_MS = 120_000;
+    static final long TOMBSTONE_TTL_MS = 120_000;
 
     private final Map<RegistryEntry.Subject, SubjectEntries> entriesBySubject =
             new EnumMap<>(RegistryEntry.Subject.class);
@@ -119,6 +119,11 @@
         return subjectEntries.all;
     }
 
+    /** The number of entries of a subject. */
+    public int size(RegistryEntry.Subject subject) {
+        return entriesBySubject.get(subject).entries.size();
+    }
+
     /** Keys of the entries of a subject in state {@code READY}. */
     public List<String> readyKeys(RegistryEntry.Subject subject) {
         SubjectEntries subjectEntries = entriesBySubject.get(subject);
--- a/src/test/java/quartzspan/controlplane/HeartbeatHandlerTest.java
+++ b/src/test/java/quartzspan/controlplane/HeartbeatHandlerTest.java
@@ -69,6 +69,32 @@
         assertEquals(RegistryEntry.State.GONE, state());
     }
 
+    /** Every process of the fleet keeps the entries of all servers. */
+    @Test
+    void noMoreServersAreRegisteredThanThereIsRoomFor() {
+        registry.confirmFresh(0);
+        for (int i = 0; i < HeartbeatHandler.MAX_SERVERS; i++) {
+            handler.onHeartbeat(0, "s" + i, body(1, "ready"));
+        }
+        FleetException rejection =
+                assertThrows(FleetException.class, () -> handler.onHeartbeat(0, "new", body(1, "ready")));
+        assertEquals(FleetException.Code.REGISTRY_FULL, rejection.code());
+        assertThrows(FleetException.class, () -> handler.onDeregistration(0, "unknown"));
+        assertEquals(HeartbeatHandler.MAX_SERVERS, registry.size(RegistryEntry.Subject.SERVER));
+        assertNull(handler.onHeartbeat(0, "s0", body(2, "ready")), "a registered server is still served");
+    }
+
+    @Test
+    void longTextsOfHeartbeatsAreRejected() {
+        String longText = "x".repeat(HeartbeatHandler.MAX_TEXT_LENGTH + 1);
+        byte[] longService = new String(body(1, "ready"), StandardCharsets.UTF_8)
+                .replace("\"s\"", '"' + longText + '"')
+                .getBytes(StandardCharsets.UTF_8);
+        assertThrows(FleetException.class, () -> handler.onHeartbeat(0, "i", longService));
+        assertThrows(FleetException.class, () -> handler.onHeartbeat(0, longText, body(1, "ready")));
+        assertEquals(0, registry.size(RegistryEntry.Subject.SERVER));
+    }
+
     @Test
     void malformedHeartbeatIsRejected() {
         assertThrows(FleetException.class, () -> handler.onHeartbeat(0, "i", new byte[] {'{'}));
