HttpServer: what waits behind a request waits undecoded

What callers saw: clients that sent many requests at once, and read no response, ended proxies, core machines and the client proxy (heap).

Cause: everything that was read was decoded. A read of 8 KiB can hold 400 requests of 18 bytes, each some 700 bytes as a message, and while reading was paused, a read every 200 ms, meant to notice disconnects, went on adding to them: only their bodies were counted.

Why this works: RequestDecoder decodes one request at a time. While it is handled, its client's input waits as the bytes that were received: reading pauses at 2 KiB, and the reads that notice a disconnect stop at 64 KiB, or at 2 KiB while memory is scarce. A rejected body whose rest is invalid now ends its connection; it was kept until the idle timeout.

--- a/src/main/java/quartzspan/controlplane/ControlPlane.java
+++ b/src/main/java/quartzspan/controlplane/ControlPlane.java
@@ -45,6 +45,7 @@
     private static final int MIN_CLIENT_CONNECTIONS = 64;
     /** One in so many file descriptors may be a connection that another of the system's processes has opened. */
     private static final int DESCRIPTORS_PER_INTERNAL_CONNECTION = 5;
+
     private static final int SERVER_CONNECT_TIMEOUT_US = 500_000;
     private static final int SERVER_IDLE_TIMEOUT_US = 2_000_000;
     private static final int MAX_SERVER_CONNECTIONS = 256;
@@ -105,8 +106,7 @@
         ServerApi serverApi =
                 new ServerApi(this::nowMs, node.heartbeatHandler(), node.drainAcknowledger(), node::requiredDrainAcks);
         OperatorApi operatorApi = new OperatorApi(this::nowMs, replicaHost, node.registry());
-        return new RequestRouter(
-                        DocumentLimits.forHeap(Runtime.getRuntime().maxMemory()))
+        return new RequestRouter(DocumentLimits.forHeap(Runtime.getRuntime().maxMemory()))
                 .addRoute("POST", "/quartzspan/Instances.Heartbeat/", serverApi::heartbeat)
                 .addRoute("POST", "/quartzspan/Instances.Deregister/", serverApi::deregister)
                 .addRoute("POST", "/quartzspan/Configuration.Replace", operatorApi::replace)
--- a/src/main/java/quartzspan/frontend/FrontendProxy.java
+++ b/src/main/java/quartzspan/frontend/FrontendProxy.java
@@ -100,12 +100,11 @@
                 Math.max(ProxyMemory.MIN_CONNECTIONS, (settings.fileDescriptors() - RESERVED_DESCRIPTORS) / 3);
         this.connectionPool =
                 new ConnectionPool(loop, CONNECT_TIMEOUT_US, SERVER_IDLE_TIMEOUT_US, maxServerConnections);
-        this.transport =
-                new TcpTransport(
-                        loop,
-                        new Hello(false, internalAddress, "", settings.zone()),
-                        this::onMessage,
-                        settings.fileDescriptors() / DESCRIPTORS_PER_INTERNAL_CONNECTION);
+        this.transport = new TcpTransport(
+                loop,
+                new Hello(false, internalAddress, "", settings.zone()),
+                this::onMessage,
+                settings.fileDescriptors() / DESCRIPTORS_PER_INTERNAL_CONNECTION);
         this.fleet = new FleetView(
                 settings,
                 internalAddress,
--- a/src/main/java/quartzspan/http/HttpFraming.java
+++ b/src/main/java/quartzspan/http/HttpFraming.java
@@ -6,7 +6,6 @@
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMessage;
-import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.AsciiString;
@@ -22,7 +21,7 @@
     /** Largest message head; the same as the codec's default. */
     public static final int MAX_HEADER_BYTES = 8 * 1024;
 
-    private static HttpDecoderConfig strictConfig(int maxHeaderBytes) {
+    static HttpDecoderConfig strictConfig(int maxHeaderBytes) {
         return new HttpDecoderConfig()
                 .setStrictLineParsing(true)
                 .setAllowDuplicateContentLengths(false)
@@ -32,24 +31,6 @@
 
     private HttpFraming() {}
 
-    /** Decodes client requests; an ambiguous message is a decoding error. */
-    static class RequestDecoder extends HttpRequestDecoder {
-        RequestDecoder(int maxHeaderBytes) {
-            super(strictConfig(maxHeaderBytes));
-        }
-
-        @Override
-        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-            throw new IllegalArgumentException("message has both Transfer-Encoding and Content-Length");
-        }
-
-        @Override
-        protected AsciiString splitHeaderName(byte[] line, int start, int length) {
-            requireColon(line, start + length);
-            return super.splitHeaderName(line, start, length);
-        }
-    }
-
     /** Decodes server responses; an ambiguous message is a decoding error. */
     static class ResponseDecoder extends HttpResponseDecoder {
         ResponseDecoder() {
@@ -63,7 +44,7 @@
 
         @Override
         protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-            throw new IllegalArgumentException("message has both Transfer-Encoding and Content-Length");
+            throw twoLengths();
         }
 
         @Override
@@ -73,8 +54,13 @@
         }
     }
 
+    /** The failure of a message that declares its length twice. */
+    static IllegalArgumentException twoLengths() {
+        return new IllegalArgumentException("message has both Transfer-Encoding and Content-Length");
+    }
+
     /** Rejects header lines without a colon, which the codec accepts as a header with an empty value. */
-    private static void requireColon(byte[] line, int index) {
+    static void requireColon(byte[] line, int index) {
         if (index >= line.length || line[index] != ':') {
             throw new IllegalArgumentException("header line has no colon after the name");
         }
--- a/src/main/java/quartzspan/http/HttpServer.java
+++ b/src/main/java/quartzspan/http/HttpServer.java
@@ -34,7 +34,6 @@
 import io.netty.util.concurrent.Future;
 import java.math.BigDecimal;
 import java.net.InetSocketAddress;
-import java.util.ArrayDeque;
 import java.util.LinkedHashSet;
 import java.util.concurrent.TimeUnit;
 
@@ -51,12 +50,12 @@
  */
 public final class HttpServer {
     /**
-     * Limits on pipelined requests and body bytes of one client; reading from it pauses at either (backpressure), and where a
-     * complete request is pending also while the memory for bodies is scarce.
+     * Input that may wait while a request of its client is handled. Reading pauses at this limit (backpressure), and earlier while
+     * the memory for requests is scarce.
      */
-    private static final int MAX_PIPELINED_REQUESTS = 16;
-
-    private static final int MAX_PIPELINED_BYTES = HttpFraming.MAX_BODY_BYTES;
+    private static final int MAX_WAITING_BYTES = 2 * 1024;
+    /** Input that may wait so that the close behind it is noticed, as long as the memory for requests is not scarce. */
+    private static final int MAX_PEEKED_BYTES = 64 * 1024;
     /** When a client whose request does not fit into memory should come back, microseconds. */
     private static final long OVERLOAD_RETRY_AFTER_US = 500_000;
     /** Bytes of a response that wait for a slow client before the server's connection is no longer read, and is read again. */
@@ -137,11 +136,7 @@
                         limits = handler.limits();
                         requestMemory.setLimit(limits.maxRequestMemoryBytes());
                         ClientConnection client = new ClientConnection(ch);
-                        ch.pipeline()
-                                .addLast(
-                                        new HttpFraming.RequestDecoder(limits.maxHeaderBytes()),
-                                        new HttpResponseEncoder(),
-                                        client);
+                        ch.pipeline().addLast(client.decoder, new HttpResponseEncoder(), client);
                         admit(ch, client);
                     }
                 })
@@ -263,22 +258,18 @@
     }
 
     /** One client connection: the last handler of its pipeline. */
-    public final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> {
+    public final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> implements RequestDecoder.Flow {
         private final Channel channel;
-        private final ArrayDeque<QueuedRequest> queuedRequests = new ArrayDeque<>();
-        /** The bodies of the queued requests, bytes. */
-        private int queuedBytes;
-        /** The body of the request that is being handled, bytes. */
-        private int inFlightBytes;
+        private final RequestDecoder decoder = new RequestDecoder(limits.maxHeaderBytes(), this);
+        /** The complete request that is handled next; null if none is. */
+        private PendingRequest pending;
+        /** The body of the request that is pending or being handled, bytes. */
+        private int bodyBytes;
 
-        /**
-         * The head of the request being received, or null. {@code body} is what has arrived of its body, {@code expectsContinue}
-         * whether the client waits for {@code 100 Continue}.
-         */
+        /** The head of the request being received, or null. {@code body} is what has arrived of its body. */
         private HttpRequest head;
 
         private RequestBody body;
-        private boolean expectsContinue;
         /** Whether the rest of a rejected request's body is being read and dropped. */
         private boolean discardingBody;
 
@@ -288,7 +279,7 @@
 
         private boolean responding;
         private boolean hasServedRequest;
-        private boolean handlingQueued;
+        private boolean handlingPending;
         private boolean peekScheduled;
         private boolean keepAlive;
         private boolean lastResponse;
@@ -298,25 +289,39 @@
         private Runnable writableListener;
 
         /** A complete request, or the error status for one that is not handled; its head is null if the input was invalid. */
-        private record QueuedRequest(HttpRequest head, byte[] body, long receivedAtUs, HttpResponseStatus error) {}
+        private record PendingRequest(HttpRequest head, byte[] body, long receivedAtUs, HttpResponseStatus error) {}
 
         ClientConnection(Channel channel) {
             this.channel = channel;
         }
 
+        @Override
+        public boolean isInputIgnored() {
+            return inputRejected || closed;
+        }
+
+        @Override
+        public boolean mayDecode() {
+            return discardingBody || !responding && pending == null;
+        }
+
+        @Override
+        public long nowUs() {
+            return handler.now();
+        }
+
+        @Override
+        public void onInput() {
+            updateAutoRead();
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
-            if (inputRejected || closed) {
+            if (isInputIgnored()) {
                 return;
             }
             if (message.decoderResult().isFailure()) {
-                Throwable cause = message.decoderResult().cause();
-                rejectInput(
-                        cause instanceof TooLongHttpLineException
-                                ? HttpResponseStatus.REQUEST_URI_TOO_LONG
-                                : cause instanceof TooLongHttpHeaderException
-                                        ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-                                        : HttpResponseStatus.BAD_REQUEST);
+                rejectInput(statusOf(message.decoderResult().cause()));
                 return;
             }
             if (message instanceof HttpRequest request) {
@@ -332,6 +337,16 @@
             }
         }
 
+        private static HttpResponseStatus statusOf(Throwable decodingFailure) {
+            if (decodingFailure instanceof TooLongHttpLineException) {
+                return HttpResponseStatus.REQUEST_URI_TOO_LONG;
+            }
+            if (decodingFailure instanceof TooLongHttpHeaderException) {
+                return HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
+            }
+            return HttpResponseStatus.BAD_REQUEST;
+        }
+
         private void discard(HttpObject message) {
             if (message instanceof LastHttpContent) {
                 discardingBody = false;
@@ -343,19 +358,20 @@
 
         private void startRequest(HttpRequest request) {
             String expected = request.headers().get(HttpHeaderNames.EXPECT);
-            expectsContinue = expected != null;
             if (!HttpFraming.isUnambiguous(request)) {
                 rejectInput(HttpResponseStatus.BAD_REQUEST);
             } else if (HttpFraming.exceedsLength(request.headers(), limits.maxBodyBytes())) {
                 rejectInput(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
-            } else if (expectsContinue && !HttpHeaderValues.CONTINUE.contentEqualsIgnoreCase(expected)) {
+            } else if (expected != null && !HttpHeaderValues.CONTINUE.contentEqualsIgnoreCase(expected)) {
                 rejectInput(HttpResponseStatus.EXPECTATION_FAILED);
             } else {
                 head = request;
                 receivingSinceNanos = System.nanoTime();
                 receivingConnections.add(this);
                 body = new RequestBody(requestMemory, maxBodyBytes(request));
-                sendContinue();
+                if (expected != null) {
+                    sendContinue();
+                }
             }
         }
 
@@ -365,13 +381,9 @@
             return declared < 0 ? limits.maxBodyBytes() : (int) declared;
         }
 
-        /** Sends {@code 100 Continue} once the request is the next to be handled. */
         private void sendContinue() {
-            if (expectsContinue && head != null && !responding && queuedRequests.isEmpty()) {
-                expectsContinue = false;
-                channel.writeAndFlush(new DefaultFullHttpResponse(
-                        HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
-            }
+            channel.writeAndFlush(new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
         }
 
         private void appendBody(HttpContent content) {
@@ -384,12 +396,12 @@
 
         private void finishRequest() {
             byte[] completeBody = body.complete();
-            queuedBytes += completeBody.length;
+            bodyBytes = completeBody.length;
             HttpRequest request = head;
             head = null;
             body = null;
             receivingConnections.remove(this);
-            enqueue(new QueuedRequest(request, completeBody, handler.now(), null));
+            setPending(new PendingRequest(request, completeBody, decoder.lastDecodedAtUs(), null));
         }
 
         /** Rejects a request whose body does not fit into memory: it was not handled. The rest of its body is read and dropped. */
@@ -397,7 +409,7 @@
             HttpRequest request = head;
             stopReceiving();
             discardingBody = !(content instanceof LastHttpContent);
-            enqueue(new QueuedRequest(request, NO_BYTES, 0, HttpResponseStatus.SERVICE_UNAVAILABLE));
+            setPending(new PendingRequest(request, NO_BYTES, 0, HttpResponseStatus.SERVICE_UNAVAILABLE));
         }
 
         /** Gives up what has been received of a request. */
@@ -410,43 +422,44 @@
             }
         }
 
-        /** Ignores all further input of this client. Responds with the error after the responses to earlier requests. */
+        /** Ignores all further input of this client, responds with the error and closes the connection. */
         private void rejectInput(HttpResponseStatus error) {
             inputRejected = true;
+            if (discardingBody) {
+                discardingBody = false;
+                if (closeAfterDiscardedBody || !responding && pending == null) {
+                    channel.close();
+                }
+                return;
+            }
             stopReceiving();
-            enqueue(new QueuedRequest(null, NO_BYTES, 0, error));
+            setPending(new PendingRequest(null, NO_BYTES, 0, error));
         }
 
-        /** Queues a request. It is handled after the current read completes, and not at all if its client has disconnected. */
-        private void enqueue(QueuedRequest next) {
+        /** Sets the next request. It is handled after the current read completes, and not at all if its client has disconnected. */
+        private void setPending(PendingRequest next) {
             idleConnections.remove(this);
-            queuedRequests.add(next);
+            pending = next;
             updateAutoRead();
         }
 
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) {
-            if (!responding && !queuedRequests.isEmpty()) {
-                loop.execute(this::handleQueued);
+            if (!responding && pending != null) {
+                loop.execute(this::handlePending);
             }
         }
 
-        private int pendingBytes() {
-            return queuedBytes + (body == null ? 0 : body.length());
-        }
-
         /**
-         * Pauses reading while the queue is full. Only a read reveals that a client has disconnected, so one is made every
-         * {@link #PEEK_INTERVAL_MS}.
+         * Pauses reading while much input waits behind a request. Only a read reveals that a client has disconnected, so one is
+         * made every {@link #PEEK_INTERVAL_MS}.
          */
         private void updateAutoRead() {
-            boolean queueFull = (responding || !queuedRequests.isEmpty())
+            boolean enoughWaits = !mayDecode()
                     && !inputRejected
-                    && (queuedRequests.size() >= MAX_PIPELINED_REQUESTS
-                            || pendingBytes() >= MAX_PIPELINED_BYTES
-                            || requestMemory.isScarce());
-            channel.config().setAutoRead(!queueFull);
-            if (queueFull && !peekScheduled) {
+                    && (decoder.waitingBytes() >= MAX_WAITING_BYTES || requestMemory.isScarce());
+            channel.config().setAutoRead(!enoughWaits);
+            if (enoughWaits && !peekScheduled) {
                 peekScheduled = true;
                 loop.schedule(this::peek, PEEK_INTERVAL_MS, TimeUnit.MILLISECONDS);
             }
@@ -455,31 +468,37 @@
         private void peek() {
             peekScheduled = false;
             if (channel.isActive()) {
-                if (pendingBytes() < 2 * MAX_PIPELINED_BYTES) {
+                if (decoder.waitingBytes() < (requestMemory.isScarce() ? MAX_WAITING_BYTES : MAX_PEEKED_BYTES)) {
                     channel.read();
                 }
                 updateAutoRead();
             }
         }
 
-        /** Handles queued requests in order, one at a time. */
-        private void handleQueued() {
-            if (handlingQueued) {
+        /** Handles the client's requests in order, one at a time. */
+        private void handlePending() {
+            if (handlingPending) {
                 return;
             }
-            handlingQueued = true;
-            while (!responding && !queuedRequests.isEmpty() && channel.isActive()) {
-                QueuedRequest next = queuedRequests.poll();
-                queuedBytes -= next.body().length;
-                inFlightBytes = next.body().length;
+            handlingPending = true;
+            while (!responding && channel.isActive() && isNextPending()) {
+                PendingRequest next = pending;
+                pending = null;
                 handle(next);
             }
-            handlingQueued = false;
-            sendContinue();
+            handlingPending = false;
             updateAutoRead();
         }
 
-        private void handle(QueuedRequest next) {
+        /** Whether a request is pending; decodes the next one if it waits. */
+        private boolean isNextPending() {
+            if (pending == null) {
+                decoder.decodeWaitingInput();
+            }
+            return pending != null;
+        }
+
+        private void handle(PendingRequest next) {
             responding = true;
             hasServedRequest = true;
             respondingConnections++;
@@ -534,7 +553,7 @@
         }
 
         private boolean markIfLast(HttpResponse responseHead) {
-            boolean last = !keepAlive || closingAfterResponses && queuedRequests.isEmpty();
+            boolean last = !keepAlive || closingAfterResponses && decoder.waitingBytes() == 0;
             if (last) {
                 responseHead.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
@@ -546,18 +565,23 @@
                 respondingConnections--;
                 responding = false;
             }
-            requestMemory.release(inFlightBytes);
-            inFlightBytes = 0;
+            releaseRequest();
             if (last && written.isSuccess() && discardingBody) {
                 // Closing with unread input would reset the connection before the client has read the response.
                 closeAfterDiscardedBody = true;
-            } else if (last || !written.isSuccess()) {
+            } else if (last || inputRejected || !written.isSuccess()) {
                 channel.close();
             } else {
-                handleQueued();
+                handlePending();
             }
         }
 
+        /** Gives back the memory of the request that was handled or pending. */
+        private void releaseRequest() {
+            requestMemory.release(bodyBytes);
+            bodyBytes = 0;
+        }
+
         /** Starts a streamed response, which {@link #finishResponse} completes and {@link #abort} truncates. */
         public void startResponse(HttpResponse responseHead) {
             lastResponse = markIfLast(responseHead);
@@ -614,7 +638,7 @@
         }
 
         private boolean isIdle() {
-            return hasServedRequest && !responding && head == null && queuedRequests.isEmpty();
+            return hasServedRequest && !responding && head == null && pending == null;
         }
 
         private void onTimeout() {
@@ -631,7 +655,7 @@
 
         /** Closes the connection unless a request is in flight or queued; those get their response first. */
         private void closeIfIdle() {
-            if (!responding && queuedRequests.isEmpty()) {
+            if (!responding && pending == null) {
                 channel.close();
             }
         }
@@ -640,10 +664,8 @@
         public void channelInactive(ChannelHandlerContext ctx) {
             idleConnections.remove(this);
             stopReceiving();
-            queuedRequests.clear();
-            requestMemory.release(queuedBytes + inFlightBytes);
-            queuedBytes = 0;
-            inFlightBytes = 0;
+            pending = null;
+            releaseRequest();
             if (responding) {
                 responding = false;
                 respondingConnections--;
