HttpServer: heads are reserved in the account of the memory for requests

What callers saw: clients with legal heads of very many short lines ended a process: it ran out of memory.

Cause: a line of four bytes takes an entry, a name and a value, and again an entry in each forwarded copy: a legal head of 16 KB takes over a megabyte while it is received, waits or is in flight. Only bodies were counted.

Why this works: RequestDecoder reserves the memory of a head as it is decoded, by its lines and its text, from its first bytes until the response is written; what an ordinary head needs (8 KiB) belongs to its connection and is not counted. Where there is none left, the request is rejected with 503 and Retry-After, which is true: it was not handled. As with bodies, long heads leave a quarter of the account to short requests. Buffers of undecoded input count too. A single request of the largest legal head is still served.

--- a/src/main/java/quartzspan/http/HttpServer.java
+++ b/src/main/java/quartzspan/http/HttpServer.java
@@ -260,11 +260,14 @@
     /** One client connection: the last handler of its pipeline. */
     public final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> implements RequestDecoder.Flow {
         private final Channel channel;
-        private final RequestDecoder decoder = new RequestDecoder(limits.maxHeaderBytes(), this);
+        private final HeadReservation headReservation = new HeadReservation(requestMemory);
+        private final RequestDecoder decoder = new RequestDecoder(limits.maxHeaderBytes(), headReservation, this);
         /** The complete request that is handled next; null if none is. */
         private PendingRequest pending;
         /** The body of the request that is pending or being handled, bytes. */
         private int bodyBytes;
+        /** What the buffer of undecoded input has beyond the size of one read, bytes. */
+        private int inputBufferBytes;
 
         /** The head of the request being received, or null. {@code body} is what has arrived of its body. */
         private HttpRequest head;
@@ -312,9 +315,24 @@
 
         @Override
         public void onInput() {
+            accountInputBuffer();
             updateAutoRead();
         }
 
+        /** Accounts for the buffer of undecoded input; a request whose head does not fit is rejected, one in flight goes on. */
+        private void accountInputBuffer() {
+            int needed = Math.max(0, decoder.bufferBytes() - READ_BYTES);
+            int added = needed - inputBufferBytes;
+            if (added > 0 && mayDecode() && !requestMemory.tryReserve(added, needed)) {
+                rejectInput(HttpResponseStatus.SERVICE_UNAVAILABLE);
+                return;
+            }
+            if (added < 0 || !mayDecode()) {
+                requestMemory.add(added);
+            }
+            inputBufferBytes = needed;
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
             if (isInputIgnored()) {
@@ -344,7 +362,9 @@
             if (decodingFailure instanceof TooLongHttpHeaderException) {
                 return HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
             }
-            return HttpResponseStatus.BAD_REQUEST;
+            return decodingFailure instanceof RequestMemoryException
+                    ? HttpResponseStatus.SERVICE_UNAVAILABLE
+                    : HttpResponseStatus.BAD_REQUEST;
         }
 
         private void discard(HttpObject message) {
@@ -415,6 +435,7 @@
         /** Gives up what has been received of a request. */
         private void stopReceiving() {
             receivingConnections.remove(this);
+            headReservation.release();
             head = null;
             if (body != null) {
                 requestMemory.release(body.reservedBytes());
@@ -580,6 +601,7 @@
         private void releaseRequest() {
             requestMemory.release(bodyBytes);
             bodyBytes = 0;
+            headReservation.release();
         }
 
         /** Starts a streamed response, which {@link #finishResponse} completes and {@link #abort} truncates. */
@@ -666,6 +688,8 @@
             stopReceiving();
             pending = null;
             releaseRequest();
+            requestMemory.release(inputBufferBytes);
+            inputBufferBytes = 0;
             if (responding) {
                 responding = false;
                 respondingConnections--;
--- a/src/main/java/quartzspan/http/RequestDecoder.java
+++ b/src/main/java/quartzspan/http/RequestDecoder.java
@@ -3,13 +3,21 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
+import io.netty.util.ReferenceCountUtil;
 import java.util.List;
 
 /**
- * Decodes the requests of one client; an ambiguous message is a decoding failure. One request is decoded at a time: what a client sends while an earlier request of it is
+ * Decodes the requests of one client; an ambiguous message is a decoding failure, and so is a head for which there is no memory
+ * (cause {@link RequestMemoryException}). One request is decoded at a time: what a client sends while an earlier request of it is
  * handled waits as the bytes that were received, which take far less memory than decoded messages. Confined to the event loop of
  * its channel, which owns it.
  */
@@ -29,12 +37,20 @@
         void onInput();
     }
 
+    private final HeadReservation headReservation;
     private final Flow flow;
     private final InputArrivals arrivals = new InputArrivals();
     private ChannelHandlerContext context;
-
-    RequestDecoder(int maxHeaderBytes, Flow flow) {
+    /** Whether the next input belongs to the head of a request. */
+    private boolean withinHead = true;
+    /** Header lines decoded since the last reservation. */
+    private int newLines;
+    /** Set once a head was given up: what follows it can't be decoded. */
+    private boolean failed;
+
+    RequestDecoder(int maxHeaderBytes, HeadReservation headReservation, Flow flow) {
         super(HttpFraming.strictConfig(maxHeaderBytes));
+        this.headReservation = headReservation;
         this.flow = flow;
     }
 
@@ -80,7 +96,7 @@
 
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
-        if (flow.isInputIgnored()) {
+        if (failed || flow.isInputIgnored()) {
             in.skipBytes(in.readableBytes());
             return;
         }
@@ -89,7 +105,27 @@
         }
         int start = in.readerIndex();
         super.decode(ctx, in, out);
-        arrivals.onDecoded(in.readerIndex() - start);
+        onDecoded(in.readerIndex() - start, out);
+    }
+
+    private void onDecoded(int bytes, List<Object> out) {
+        arrivals.onDecoded(bytes);
+        if (withinHead && !headReservation.tryGrow(bytes, newLines)) {
+            failForMemory(out);
+        }
+        newLines = 0;
+        if (!out.isEmpty()) {
+            withinHead = out.get(out.size() - 1) instanceof LastHttpContent;
+        }
+    }
+
+    private void failForMemory(List<Object> out) {
+        failed = true;
+        out.forEach(ReferenceCountUtil::release);
+        out.clear();
+        HttpRequest failure = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
+        failure.setDecoderResult(DecoderResult.failure(new RequestMemoryException()));
+        out.add(failure);
     }
 
     @Override
@@ -99,6 +135,7 @@
 
     @Override
     protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+        newLines++;
         HttpFraming.requireColon(line, start + length);
         return super.splitHeaderName(line, start, length);
     }
--- a/src/main/java/quartzspan/http/RequestMemory.java
+++ b/src/main/java/quartzspan/http/RequestMemory.java
@@ -39,6 +39,11 @@
         return true;
     }
 
+    /** Reserves memory that is in use already, whether it fits or not; a negative number of bytes gives it back. */
+    void add(long bytes) {
+        reservedBytes += bytes;
+    }
+
     /** Gives reserved memory back. */
     void release(long bytes) {
         reservedBytes -= bytes;
