HttpServer: trailers of requests are dropped as they are decoded

What callers saw: clients that stopped within very many trailer lines ended proxies and core machines (heap); folded trailers after many of the same name hung a core machine, since each fold lists all of them.

Cause: the codec collects trailers that nobody reads.

--- a/src/main/java/quartzspan/http/RequestDecoder.java
+++ b/src/main/java/quartzspan/http/RequestDecoder.java
@@ -49,7 +49,7 @@
     private boolean failed;
 
     RequestDecoder(int maxHeaderBytes, HeadReservation headReservation, Flow flow) {
-        super(HttpFraming.strictConfig(maxHeaderBytes));
+        super(HttpFraming.strictConfig(maxHeaderBytes).setTrailersFactory(DiscardedTrailers.FACTORY));
         this.headReservation = headReservation;
         this.flow = flow;
     }
