HttpServer: long responses are reserved until they are written

What callers saw: clients that read no response ended a proxy. Most of that were waiting requests; but a response of up to 64 KiB to each of a thousand such clients is more than the heap too.

A response of over 8 KiB is reserved until it is written. Where there is no memory for it the connection is closed, which promises nothing: the request has run.

Evidence: FrontendCrowdTest.unreadResponsesEndNothing red before (with the waiting requests), green after.

--- a/src/main/java/quartzspan/http/HttpServer.java
+++ b/src/main/java/quartzspan/http/HttpServer.java
@@ -68,6 +68,9 @@
     private static final int READ_BYTES = 8 * 1024;
 
     private static final int MAX_READS = 16;
+    /** The part of a response that is included in the memory of its connection, bytes. */
+    private static final int INCLUDED_RESPONSE_BYTES = 8 * 1024;
+
     private static final byte[] NO_BYTES = {};
     /** While reading is paused, one read at this interval detects a client that has disconnected. */
     private static final long PEEK_INTERVAL_MS = 200;
@@ -266,6 +269,8 @@
         private PendingRequest pending;
         /** The body of the request that is pending or being handled, bytes. */
         private int bodyBytes;
+        /** The memory that is reserved for the response, bytes. */
+        private int responseBytes;
         /** What the buffer of undecoded input has beyond the size of one read, bytes. */
         private int inputBufferBytes;
 
@@ -545,11 +550,16 @@
         }
 
         /**
-         * Sends the complete response to the current request; the next request is handled when it is written.
+         * Sends the complete response to the current request; the next request is handled when it is written. If there is no memory
+         * for it, the connection is closed, which promises the client nothing.
          *
          * @param retryAfterUs value of the Retry-After header, microseconds; 0 for none
          */
         public void answer(HttpResponseStatus status, ConnectionPool.Response response, long retryAfterUs) {
+            if (!reserveResponse(response.body().length)) {
+                abort();
+                return;
+            }
             forgetRequest();
             DefaultFullHttpResponse message =
                     new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(response.body()));
@@ -573,6 +583,16 @@
             channel.writeAndFlush(message).addListener(written -> onResponseWritten(last, written));
         }
 
+        /** Reserves memory for a response until it is written, which takes as long as its client wants. */
+        private boolean reserveResponse(int bytes) {
+            int added = Math.max(0, bytes - INCLUDED_RESPONSE_BYTES);
+            if (!requestMemory.tryReserve(added, added)) {
+                return false;
+            }
+            responseBytes = added;
+            return true;
+        }
+
         private boolean markIfLast(HttpResponse responseHead) {
             boolean last = !keepAlive || closingAfterResponses && decoder.waitingBytes() == 0;
             if (last) {
@@ -599,8 +619,9 @@
 
         /** Gives back the memory of the request that was handled or pending. */
         private void releaseRequest() {
-            requestMemory.release(bodyBytes);
+            requestMemory.release(bodyBytes + responseBytes);
             bodyBytes = 0;
+            responseBytes = 0;
             headReservation.release();
         }
 
