Every listener has a part of the heap that it can't exceed

Cause: each server had half of the heap as its default account. A proxy has two, its readiness address among them, and a core machine's connections, up to half of its descriptors, were not weighed against the heap.

Readiness has 1 MiB. A core machine gives a quarter of its heap to requests and a sixth to connections (20 KiB each, 1,092 with the usual heap), the client proxy a quarter to requests: more than its connections can need within the limits.

--- a/src/main/java/quartzspan/controlplane/ControlPlane.java
+++ b/src/main/java/quartzspan/controlplane/ControlPlane.java
@@ -45,6 +45,12 @@
     private static final int MIN_CLIENT_CONNECTIONS = 64;
     /** One in so many file descriptors may be a connection that another of the system's processes has opened. */
     private static final int DESCRIPTORS_PER_INTERNAL_CONNECTION = 5;
+    /** Memory of one client connection. */
+    private static final int CLIENT_CONNECTION_BYTES = 20 * 1024;
+    /** The part of the heap for client connections. */
+    private static final int HEAP_PARTS_PER_CLIENT_CONNECTIONS = 6;
+    /** The part of the heap for the requests of clients; with the usual heap it holds two of the longest bodies. */
+    private static final int HEAP_PARTS_PER_REQUEST_MEMORY = 4;
 
     private static final int SERVER_CONNECT_TIMEOUT_US = 500_000;
     private static final int SERVER_IDLE_TIMEOUT_US = 2_000_000;
@@ -75,12 +81,8 @@
         this.group = group;
         this.loop = loop;
         this.self = hostAndPort(settings.internalAddress());
-        this.connectionLimits = new ConnectionLimits(
-                Math.max(MIN_CLIENT_CONNECTIONS, settings.fileDescriptors() / 2),
-                MAX_HEADER_BYTES,
-                MAX_BODY_BYTES,
-                CLIENT_TIMEOUT_MS,
-                CLIENT_TIMEOUT_MS);
+        this.connectionLimits = connectionLimits(
+                settings.fileDescriptors(), Runtime.getRuntime().maxMemory());
         List<String> seeds = internalSeeds(settings);
         String control = hostAndPort(settings.listenAddress("control_plane"));
         this.transport = new TcpTransport(
@@ -102,6 +104,17 @@
         this.router = createRouter();
     }
 
+    private static ConnectionLimits connectionLimits(int fileDescriptors, long heapBytes) {
+        long fittingConnections = heapBytes / HEAP_PARTS_PER_CLIENT_CONNECTIONS / CLIENT_CONNECTION_BYTES;
+        return new ConnectionLimits(
+                (int) Math.max(MIN_CLIENT_CONNECTIONS, Math.min(fileDescriptors / 2, fittingConnections)),
+                MAX_HEADER_BYTES,
+                MAX_BODY_BYTES,
+                CLIENT_TIMEOUT_MS,
+                CLIENT_TIMEOUT_MS,
+                heapBytes / HEAP_PARTS_PER_REQUEST_MEMORY);
+    }
+
     private RequestRouter createRouter() {
         ServerApi serverApi =
                 new ServerApi(this::nowMs, node.heartbeatHandler(), node.drainAcknowledger(), node::requiredDrainAcks);
--- a/src/main/java/quartzspan/frontend/ReadinessHandler.java
+++ b/src/main/java/quartzspan/frontend/ReadinessHandler.java
@@ -11,7 +11,9 @@
 /** Responds to the platform's readiness checks. */
 final class ReadinessHandler implements RequestHandler {
     private static final String PATH = "/quartzspan/readiness";
-    private static final ConnectionLimits LIMITS = new ConnectionLimits(64, 8 * 1024, 8 * 1024, 30_000, 5_000);
+    /** The platform opens few connections. What they need is included in the fixed part of {@link ProxyMemory}. */
+    private static final ConnectionLimits LIMITS =
+            new ConnectionLimits(64, 8 * 1024, 8 * 1024, 30_000, 5_000, 1024 * 1024);
 
     private final Clock clock;
     private final BooleanSupplier ready;
--- a/src/main/java/quartzspan/http/ConnectionLimits.java
+++ b/src/main/java/quartzspan/http/ConnectionLimits.java
@@ -8,7 +8,8 @@
  * @param maxBodyBytes maximum size of a request body
  * @param idleTimeoutMs how long a connection may have no request in flight
  * @param requestTimeoutMs how long receiving a complete request may take
- * @param maxRequestMemoryBytes memory for the bodies of all clients together; a request whose body does not fit is rejected
+ * @param maxRequestMemoryBytes memory for what the requests of all clients together occupy beyond what each connection has
+ *     anyway: long heads, bodies, waiting input and long responses; a request that does not fit is rejected
  */
 public record ConnectionLimits(
         int maxConnections,
@@ -17,7 +18,7 @@
         long idleTimeoutMs,
         long requestTimeoutMs,
         long maxRequestMemoryBytes) {
-    /** Limits with half of the heap as memory for bodies. */
+    /** Limits with a quarter of the heap as memory for requests. */
     public ConnectionLimits(
             int maxConnections, int maxHeaderBytes, int maxBodyBytes, long idleTimeoutMs, long requestTimeoutMs) {
         this(
@@ -26,6 +27,6 @@
                 maxBodyBytes,
                 idleTimeoutMs,
                 requestTimeoutMs,
-                Runtime.getRuntime().maxMemory() / 2);
+                Runtime.getRuntime().maxMemory() / 4);
     }
 }
