Hop-by-hop headers: a long Connection header takes linear time

Found by reading, not measured: each name that a Connection header lists was removed by itself, which walks all headers that share its hash bucket; thousands of names beside thousands of headers are millions of steps on the event loop. Names are collected first, and one pass copies the other headers. The same copying stood twice, for requests and for responses.

--- a/src/main/java/quartzspan/frontend/ProxiedRequest.java
+++ b/src/main/java/quartzspan/frontend/ProxiedRequest.java
@@ -16,6 +16,7 @@
 import quartzspan.http.ConnectionPool;
 import quartzspan.http.ConnectionPool.Response;
 import quartzspan.http.ConnectionPool.ResponseMatch;
+import quartzspan.http.HopByHopHeaders;
 import quartzspan.http.HttpServer;
 import quartzspan.http.OutgoingRequest;
 import quartzspan.loadbalancing.LoadBalancer.Outcome;
@@ -217,9 +218,7 @@
     }
 
     private static HttpHeaders endToEndHeaders(HttpHeaders received) {
-        HttpHeaders headers = new DefaultHttpHeaders().set(received);
-        received.getAll(HttpHeaderNames.CONNECTION)
-                .forEach(names -> List.of(names.split(",")).forEach(name -> headers.remove(name.trim())));
+        HttpHeaders headers = HopByHopHeaders.withoutConnectionOptions(received);
         HOP_BY_HOP_HEADERS.forEach(headers::remove);
         return headers;
     }
--- a/src/main/java/quartzspan/http/OutgoingRequest.java
+++ b/src/main/java/quartzspan/http/OutgoingRequest.java
@@ -29,9 +29,7 @@
 
     /** Copies a client's request without its hop-by-hop headers, including those listed in its Connection header. */
     public static OutgoingRequest of(HttpRequest clientRequest, byte[] body) {
-        HttpHeaders headers = new DefaultHttpHeaders().set(clientRequest.headers());
-        clientRequest.headers().getAll(HttpHeaderNames.CONNECTION).forEach(names -> List.of(names.split(","))
-                .forEach(name -> headers.remove(name.trim())));
+        HttpHeaders headers = HopByHopHeaders.withoutConnectionOptions(clientRequest.headers());
         NOT_FORWARDED_HEADERS.forEach(headers::remove);
         return new OutgoingRequest(clientRequest.method().name(), clientRequest.uri(), headers, body);
     }
