HttpServer: a connection has four reads at a time, not sixteen

What callers saw: beside a crowd that sends chunks of one byte, an ordinary request at a core machine was answered after 48 s, at a proxy after 26 s.

Cause: each pass of the event loop decoded up to 128 KiB of each connection, before an ordinary one had its turn.

--- a/src/main/java/quartzspan/http/HttpServer.java
+++ b/src/main/java/quartzspan/http/HttpServer.java
@@ -67,7 +67,7 @@
      */
     private static final int READ_BYTES = 8 * 1024;
 
-    private static final int MAX_READS = 16;
+    private static final int MAX_READS = 4;
     /** The part of a response that is included in the memory of its connection, bytes. */
     private static final int INCLUDED_RESPONSE_BYTES = 8 * 1024;
 
