HttpServer: requests that wait at the close are answered

Input is now dropped as it is received after the close; what waits is decoded and answered, and then the connection is closed, also if half a request waits. HttpServerTest.requestsThatWaitAtTheCloseAreAnswered is new.

--- a/src/main/java/quartzspan/http/HttpServer.java
+++ b/src/main/java/quartzspan/http/HttpServer.java
@@ -308,6 +308,11 @@
             return inputRejected || closed;
         }
 
+        @Override
+        public boolean isInputRejected() {
+            return inputRejected;
+        }
+
         @Override
         public boolean mayDecode() {
             return discardingBody || !responding && pending == null;
@@ -340,7 +345,7 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
-            if (isInputIgnored()) {
+            if (inputRejected) {
                 return;
             }
             if (message.decoderResult().isFailure()) {
@@ -513,6 +518,9 @@
                 handle(next);
             }
             handlingPending = false;
+            if (closed && !responding && pending == null) {
+                channel.close();
+            }
             updateAutoRead();
         }
 
--- a/src/main/java/quartzspan/http/RequestDecoder.java
+++ b/src/main/java/quartzspan/http/RequestDecoder.java
@@ -24,9 +24,12 @@
 final class RequestDecoder extends HttpRequestDecoder {
     /** The connection that the requests belong to. */
     interface Flow {
-        /** Whether all further input is to be dropped. */
+        /** Whether input that is received from now on is to be dropped. */
         boolean isInputIgnored();
 
+        /** Whether input that was received and waits is to be dropped too. */
+        boolean isInputRejected();
+
         /** Whether the next message may be decoded; else the input waits for {@link #decodeWaitingInput}. */
         boolean mayDecode();
 
@@ -61,6 +64,10 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
+        if (flow.isInputIgnored() && message != Unpooled.EMPTY_BUFFER) {
+            ReferenceCountUtil.release(message);
+            return;
+        }
         if (message instanceof ByteBuf input && input.isReadable()) {
             arrivals.onRead(input.readableBytes(), flow.nowUs());
         }
@@ -96,7 +103,7 @@
 
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
-        if (failed || flow.isInputIgnored()) {
+        if (failed || flow.isInputRejected()) {
             in.skipBytes(in.readableBytes());
             return;
         }
--- a/src/test/java/quartzspan/http/HttpServerTest.java
+++ b/src/test/java/quartzspan/http/HttpServerTest.java
@@ -15,6 +15,8 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
@@ -121,4 +123,57 @@
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
         }
     }
+
+    /** Requests that had been received by then are answered, though they wait behind another one. */
+    @Test
+    void requestsThatWaitAtTheCloseAreAnswered() throws Exception {
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        EventLoop loop = group.next();
+        BlockingQueue<HttpServer.ClientConnection> received = new LinkedBlockingQueue<>();
+        try {
+            HttpServer server = loop.submit(() -> new HttpServer(
+                            new RequestHandler() {
+                                @Override
+                                public long now() {
+                                    return System.nanoTime() / 1000;
+                                }
+
+                                @Override
+                                public void onRequest(
+                                        HttpServer.ClientConnection client,
+                                        HttpRequest request,
+                                        byte[] body,
+                                        long receivedAtUs) {
+                                    received.add(client);
+                                }
+
+                                @Override
+                                public ConnectionLimits limits() {
+                                    return new ConnectionLimits(8, 8_192, 8_192, 30_000, 10_000);
+                                }
+                            },
+                            loop))
+                    .get();
+            loop.submit(() -> server.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)))
+                    .get()
+                    .await();
+            try (LoopbackPeers.Client client = new LoopbackPeers.Client(server.port())) {
+                String request = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+                client.write(request + request + "GET /partial");
+                HttpServer.ClientConnection first = LoopbackPeers.next(received, "the first request");
+                loop.submit(() -> {
+                            server.close();
+                            first.answer(HttpResponseStatus.OK);
+                        })
+                        .get();
+                assertEquals(200, client.read().status());
+                HttpServer.ClientConnection second = LoopbackPeers.next(received, "the second request");
+                loop.submit(() -> second.answer(HttpResponseStatus.OK)).get();
+                assertEquals(200, client.read().status());
+                assertTrue(client.closed(), "a request that is not complete at the close is not waited for");
+            }
+        } finally {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+    }
 }
--- a/src/test/java/quartzspan/misbehavior/ClientProxyCrowdTest.java
+++ b/src/test/java/quartzspan/misbehavior/ClientProxyCrowdTest.java
@@ -28,6 +28,7 @@
     private static final String HELD_PATH = "/api/held";
     private static final String SERVED_PATH = "/api/served";
     private static final String REQUEST_HEADERS = "X-Class: safe\r\nX-Deadline-Ms: 20000\r\nX-Request-Id: ";
+
     @TempDir
     Path folder;
 
