Tests: crowds wait for sockets and not for time; one set-up; a proxy of full size

A crowd writes when a socket takes more (a selector) where it slept between rounds, and an ordinary caller waits for the end of the process where it slept between attempts. The tests with a fleet share one set-up. Crowds and bounds are the same; the pace of sending is faster, so it is the harder crowd. The stand-in server answers kv-events, and reads a head in linear time.

--- a/src/test/java/quartzspan/http/LoopbackPeers.java
+++ b/src/test/java/quartzspan/http/LoopbackPeers.java
@@ -26,6 +26,9 @@
     /** Timeout of every wait. A passing test never waits that long. */
     public static final long TIMEOUT_S = 30;
 
+    /** The line breaks that end a head. */
+    private static final int END_OF_HEAD = 0x0d0a0d0a;
+
     private LoopbackPeers() {}
 
     /** Takes the next element of a queue; fails if none arrives within {@link #TIMEOUT_S}. */
@@ -72,12 +75,14 @@
     /** Reads the head of a message only. */
     public static Message readHead(InputStream in) throws IOException {
         ByteArrayOutputStream head = new ByteArrayOutputStream();
-        while (!head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
+        int lastFourBytes = 0;
+        while (lastFourBytes != END_OF_HEAD) {
             int b = in.read();
             if (b < 0) {
                 throw new EOFException("stream ended within the message head, after '" + head + "'");
             }
             head.write(b);
+            lastFourBytes = lastFourBytes << Byte.SIZE | b;
         }
         List<String> lines =
                 List.of(head.toString(StandardCharsets.ISO_8859_1).strip().split("\r\n"));
--- a/src/test/java/quartzspan/misbehavior/ClientProxyCrowdTest.java
+++ b/src/test/java/quartzspan/misbehavior/ClientProxyCrowdTest.java
@@ -48,8 +48,9 @@
         Files.writeString(
                 config,
                 LoopbackPeers.config(port, discovery.server.address(), "", LoopbackPeers.list(1, true, endpoint))
-                        .replace("\"sockets\":160", "\"sockets\":" + ProgramProcess.FILE_DESCRIPTORS));
-        proxy = new ProgramProcess("quartzspan.clientproxy.Main", List.of("serve"), "NODE_CONFIG", config);
+                        .replace("\"sockets\":160", "\"sockets\":" + Resources.SMALL.fileDescriptors()));
+        proxy = new ProgramProcess(
+                "quartzspan.clientproxy.Main", List.of("serve"), "NODE_CONFIG", config, Resources.SMALL);
         Discovery.push(discovery.awaitWatch(), LoopbackPeers.list(2, true, endpoint));
         InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
         String ordinary = "GET " + SERVED_PATH + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n" + REQUEST_HEADERS
--- a/src/test/java/quartzspan/misbehavior/ControlPlaneCrowdTest.java
+++ b/src/test/java/quartzspan/misbehavior/ControlPlaneCrowdTest.java
@@ -1,52 +1,34 @@
 package quartzspan.misbehavior;
 
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Path;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Crowds at the address of a core machine that servers and operators call. */
-class ControlPlaneCrowdTest {
+class ControlPlaneCrowdTest extends FleetCrowdTestBase {
     private static final int HEAD_BYTES = 32_000;
     private static final int BODY_BYTES = 4_000_000;
     private static final HttpMisbehavior.Target TARGET =
             new HttpMisbehavior.Target("/quartzspan/status", "", HEAD_BYTES, BODY_BYTES);
-    private static final int LARGE_CROWD_SIZE = 900;
     /** Callers that each send a long document. */
     private static final int DOCUMENT_COUNT = 4;
 
-    @TempDir
-    Path folder;
-
-    private SmallFleet fleet;
-    private CrowdTrial trial;
-
-    @BeforeEach
-    void start() throws Exception {
-        fleet = new SmallFleet(folder);
-        trial = new CrowdTrial(fleet.core(), fleet.control(), fleet.control(), SmallFleet.describeRequest());
-    }
-
-    @AfterEach
-    void stop() throws Exception {
-        fleet.close();
+    private CrowdTrial trial() {
+        return new CrowdTrial(fleet().core(), fleet().control(), fleet().control(), SmallFleet.describeRequest());
     }
 
     @ParameterizedTest
     @EnumSource
     void crowdOfOneKindEndsNothing(HttpMisbehavior misbehavior) throws Exception {
         byte[] bytes = misbehavior.bytes(TARGET);
-        trial.run(member -> bytes);
+        trial().run(member -> bytes);
     }
 
     @Test
     void moreConnectionsThanThereIsRoomForEndNothing() throws Exception {
-        trial.run(LARGE_CROWD_SIZE, member -> HttpMisbehavior.SILENT.bytes(TARGET));
+        trial().run(LARGE_CROWD_SIZE, member -> HttpMisbehavior.SILENT.bytes(TARGET));
     }
 
     /** Documents of legal size whose parsed form takes many times their size. */
@@ -63,7 +45,7 @@
         byte[] manyNumbers = document(path, "{\"a\":[" + "1,".repeat(BODY_BYTES / 2) + "1]}");
         byte[] nested = document(path, "{\"a\":" + "[".repeat(BODY_BYTES));
         byte[][] documents = {manyObjects, manyNumbers, nested};
-        trial.run(DOCUMENT_COUNT, member -> documents[member % documents.length]);
+        trial().run(DOCUMENT_COUNT, member -> documents[member % documents.length]);
     }
 
     private static byte[] document(String path, String body) {
--- a/src/test/java/quartzspan/misbehavior/Crowd.java
+++ b/src/test/java/quartzspan/misbehavior/Crowd.java
@@ -4,9 +4,12 @@
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.function.IntFunction;
 
 /**
@@ -17,51 +20,64 @@
     /** Small, so that responses soon wait at the server. */
     private static final int RECEIVE_BUFFER_BYTES = 4 * 1024;
 
-    private static final int ROUND_MS = 20;
     /** The crowd goes on sending for this long, and holds its connections. */
-    private static final int ROUNDS = 150;
+    private static final long SEND_MS = 3_000;
 
+    private final Selector selector;
     private final List<Member> members = new ArrayList<>();
 
     /** One client with what it has not sent yet. */
     private record Member(SocketChannel channel, ByteBuffer unsent) {}
 
+    private Crowd(Selector selector) {
+        this.selector = selector;
+    }
+
     /**
      * Connects a crowd.
      *
      * @param bytesOfMember what each member sends, by its number
      */
     static Crowd connect(InetSocketAddress address, int size, IntFunction<byte[]> bytesOfMember) throws IOException {
-        Crowd crowd = new Crowd();
+        Crowd crowd = new Crowd(Selector.open());
         for (int i = 0; i < size; i++) {
             SocketChannel channel = SocketChannel.open();
             channel.setOption(StandardSocketOptions.SO_RCVBUF, RECEIVE_BUFFER_BYTES);
             channel.configureBlocking(false);
-            crowd.members.add(new Member(channel, ByteBuffer.wrap(bytesOfMember.apply(i))));
-            try {
-                channel.connect(address);
-            } catch (IOException refused) {
-                channel.close();
-            }
+            Member member = new Member(channel, ByteBuffer.wrap(bytesOfMember.apply(i)));
+            crowd.members.add(member);
+            crowd.connect(member, address);
         }
         return crowd;
     }
 
-    /** Sends as much as the server takes, for a fixed number of rounds. */
-    void send() throws InterruptedException {
-        for (int round = 0; round < ROUNDS; round++) {
-            for (Member member : members) {
-                send(member);
-            }
-            Thread.sleep(ROUND_MS);
+    private void connect(Member member, InetSocketAddress address) {
+        try {
+            member.channel.connect(address);
+            member.channel.register(selector, SelectionKey.OP_CONNECT, member);
+        } catch (IOException refused) {
+            close(member);
+        }
+    }
+
+    /** Sends as much as the server takes, for a fixed time. */
+    void send() throws IOException {
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(SEND_MS);
+        long leftMs = SEND_MS;
+        while (leftMs > 0) {
+            selector.select(Crowd::onReady, leftMs);
+            leftMs = TimeUnit.NANOSECONDS.toMillis(endNanos - System.nanoTime());
         }
     }
 
-    private static void send(Member member) {
+    private static void onReady(SelectionKey key) {
+        Member member = (Member) key.attachment();
         try {
-            if (member.channel.isOpen() && member.unsent.hasRemaining() && member.channel.finishConnect()) {
-                member.channel.write(member.unsent);
+            if (key.isConnectable()) {
+                member.channel.finishConnect();
             }
+            member.channel.write(member.unsent);
+            key.interestOps(member.unsent.hasRemaining() ? SelectionKey.OP_WRITE : 0);
         } catch (IOException closedByServer) {
             close(member);
         }
@@ -76,7 +92,8 @@
     }
 
     @Override
-    public void close() {
+    public void close() throws IOException {
         members.forEach(Crowd::close);
+        selector.close();
     }
 }
--- a/src/test/java/quartzspan/misbehavior/CrowdTrial.java
+++ b/src/test/java/quartzspan/misbehavior/CrowdTrial.java
@@ -39,9 +39,9 @@
     private void checkResources() throws IOException {
         assertTrue(program.isAlive(), () -> "the process has ended: " + endOfLog());
         long peakMib = program.peakMemoryMib();
-        assertTrue(peakMib <= ProgramProcess.MEMORY_MIB, "resident memory at its peak, MiB: " + peakMib);
+        assertTrue(peakMib <= program.resources().memoryMib(), "resident memory at its peak, MiB: " + peakMib);
         int descriptors = program.openDescriptors();
-        assertTrue(descriptors <= ProgramProcess.FILE_DESCRIPTORS, "open file descriptors: " + descriptors);
+        assertTrue(descriptors <= program.resources().fileDescriptors(), "open file descriptors: " + descriptors);
     }
 
     private String endOfLog() {
--- a/src/test/java/quartzspan/misbehavior/FrontendCrowdTest.java
+++ b/src/test/java/quartzspan/misbehavior/FrontendCrowdTest.java
@@ -1,41 +1,22 @@
 package quartzspan.misbehavior;
 
-import java.nio.file.Path;
 import java.util.SplittableRandom;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
 /** Crowds at the address of a proxy that clients connect to. */
-class FrontendCrowdTest {
+class FrontendCrowdTest extends FleetCrowdTestBase {
     /** Within the limits of the pages: 16,384 bytes with the request line and the ordinary headers. */
     private static final int HEAD_BYTES = 15_800;
 
     private static final int BODY_BYTES = 1_000_000;
-    /** More than the proxy has room for. */
-    private static final int LARGE_CROWD_SIZE = 900;
 
     private static final int WAVES = 3;
     private static final long SEED = 45;
 
-    @TempDir
-    Path folder;
-
-    private SmallFleet fleet;
-    private CrowdTrial trial;
-
-    @BeforeEach
-    void start() throws Exception {
-        fleet = new SmallFleet(folder);
-        trial = new CrowdTrial(fleet.proxy(), fleet.frontend(), fleet.frontend(), SmallFleet.clientRequest());
-    }
-
-    @AfterEach
-    void stop() throws Exception {
-        fleet.close();
+    private CrowdTrial trial() {
+        return new CrowdTrial(fleet().proxy(), fleet().frontend(), fleet().frontend(), SmallFleet.clientRequest());
     }
 
     private static HttpMisbehavior.Target target(String path) {
@@ -47,19 +28,19 @@
     @EnumSource
     void crowdOfOneKindEndsNothing(HttpMisbehavior misbehavior) throws Exception {
         byte[] bytes = misbehavior.bytes(target(SmallFleet.HELD_PATH));
-        trial.run(member -> bytes);
+        trial().run(member -> bytes);
     }
 
     @Test
     void unreadResponsesEndNothing() throws Exception {
         byte[] bytes = HttpMisbehavior.PIPELINED.bytes(target(SmallFleet.LONG_ERROR_PATH));
-        trial.run(member -> bytes);
+        trial().run(member -> bytes);
     }
 
     @Test
     void moreConnectionsThanThereIsRoomForEndNothing() throws Exception {
-        trial.run(LARGE_CROWD_SIZE, member -> HttpMisbehavior.SILENT.bytes(target(SmallFleet.HELD_PATH)));
-        trial.run(LARGE_CROWD_SIZE, member -> HttpMisbehavior.MISSING_BODY.bytes(target(SmallFleet.HELD_PATH)));
+        trial().run(LARGE_CROWD_SIZE, member -> HttpMisbehavior.SILENT.bytes(target(SmallFleet.HELD_PATH)));
+        trial().run(LARGE_CROWD_SIZE, member -> HttpMisbehavior.MISSING_BODY.bytes(target(SmallFleet.HELD_PATH)));
     }
 
     /** All kinds at once, in waves: a new crowd comes as the one before leaves. */
@@ -68,7 +49,7 @@
         SplittableRandom random = new SplittableRandom(SEED);
         HttpMisbehavior[] kinds = HttpMisbehavior.values();
         for (int wave = 0; wave < WAVES; wave++) {
-            trial.run(member -> kinds[random.nextInt(kinds.length)].bytes(
+            trial().run(member -> kinds[random.nextInt(kinds.length)].bytes(
                     target(random.nextBoolean() ? SmallFleet.HELD_PATH : SmallFleet.SERVED_PATH)));
         }
     }
--- a/src/test/java/quartzspan/misbehavior/InternalPortCrowdTest.java
+++ b/src/test/java/quartzspan/misbehavior/InternalPortCrowdTest.java
@@ -3,17 +3,12 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Path;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import quartzspan.transport.MessageCodec;
 
 /** Crowds at the port for the messages between the system's own processes. */
-class InternalPortCrowdTest {
-    private static final int LARGE_CROWD_SIZE = 900;
+class InternalPortCrowdTest extends FleetCrowdTestBase {
     private static final int SENT_OF_FRAME_BYTES = 2_000_000;
     private static final int EMPTY_FRAMES = 50_000;
 
@@ -90,34 +85,21 @@
         }
     }
 
-    @TempDir
-    Path folder;
-
-    private SmallFleet fleet;
-
-    @BeforeEach
-    void start() throws Exception {
-        fleet = new SmallFleet(folder);
-    }
-
-    @AfterEach
-    void stop() throws Exception {
-        fleet.close();
-    }
-
     @ParameterizedTest
     @EnumSource
     void crowdAtACoreMachineEndsNothing(Misbehavior misbehavior) throws Exception {
-        InetSocketAddress control = fleet.control();
-        new CrowdTrial(fleet.core(), fleet.internal(control), control, SmallFleet.describeRequest())
-                .run(misbehavior.crowdSize, misbehavior::bytes);
+        run(misbehavior, fleet().core(), fleet().control(), SmallFleet.describeRequest());
     }
 
     @ParameterizedTest
     @EnumSource
     void crowdAtAProxyEndsNothing(Misbehavior misbehavior) throws Exception {
-        InetSocketAddress frontend = fleet.frontend();
-        new CrowdTrial(fleet.proxy(), fleet.internal(frontend), frontend, SmallFleet.clientRequest())
+        run(misbehavior, fleet().proxy(), fleet().frontend(), SmallFleet.clientRequest());
+    }
+
+    private void run(Misbehavior misbehavior, ProgramProcess program, InetSocketAddress address, String request)
+            throws Exception {
+        new CrowdTrial(program, fleet().internal(address), address, request)
                 .run(misbehavior.crowdSize, misbehavior::bytes);
     }
 }
--- a/src/test/java/quartzspan/misbehavior/OrdinaryCaller.java
+++ b/src/test/java/quartzspan/misbehavior/OrdinaryCaller.java
@@ -40,7 +40,7 @@
             if (status > 0 && (wanted < 0 || status == wanted)) {
                 return true;
             }
-            Thread.sleep(PAUSE_MS);
+            program.awaitEnd(PAUSE_MS);
         }
         return false;
     }
--- a/src/test/java/quartzspan/misbehavior/ProgramProcess.java
+++ b/src/test/java/quartzspan/misbehavior/ProgramProcess.java
@@ -6,20 +6,14 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 
-/** A program in a process of its own, with the options of its deployment but a smaller heap; tells which resources it uses. */
+/** A program in a process of its own, with the options of its deployment; tells which resources it uses. */
 final class ProgramProcess implements AutoCloseable {
-    /** The heap of a program under test; small, so that a small crowd is enough to fill it. */
-    private static final int HEAP_MIB = 64;
-
-    /** Memory that the settings allow to a process, MiB. */
-    static final int MEMORY_MIB = 256;
-    /** File descriptors that the settings allow to a process. */
-    static final int FILE_DESCRIPTORS = 700;
-
     private static final String PEAK_MEMORY_FIELD = "VmHWM:";
     private static final int KIB_PER_MIB = 1024;
 
+    private final Resources resources;
     private final Process process;
     private final Path log;
 
@@ -28,14 +22,16 @@
      *
      * @param settingsVariable the environment variable that names its settings file
      */
-    ProgramProcess(String mainClass, List<String> arguments, String settingsVariable, Path settings)
+    ProgramProcess(
+            String mainClass, List<String> arguments, String settingsVariable, Path settings, Resources resources)
             throws IOException {
+        this.resources = resources;
         this.log = settings.resolveSibling(settings.getFileName() + ".log");
         List<String> command = new ArrayList<>(List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1",
-                "-Xmx" + HEAP_MIB + "m",
+                "-Xmx" + resources.heapMib() + "m",
                 "-XX:MaxDirectMemorySize=16m",
                 "-XX:MaxMetaspaceSize=64m",
                 "-XX:ReservedCodeCacheSize=32m",
@@ -52,6 +48,15 @@
         process = builder.start();
     }
 
+    /** Waits until the process ends, at most for this time. */
+    void awaitEnd(long timeoutMs) throws InterruptedException {
+        process.waitFor(timeoutMs, TimeUnit.MILLISECONDS);
+    }
+
+    Resources resources() {
+        return resources;
+    }
+
     boolean isAlive() {
         return process.isAlive();
     }
--- a/src/test/java/quartzspan/misbehavior/SmallFleet.java
+++ b/src/test/java/quartzspan/misbehavior/SmallFleet.java
@@ -15,7 +15,7 @@
 import quartzspan.http.LoopbackPeers.ReceivedRequest;
 import quartzspan.http.LoopbackPeers.Server;
 
-/** One core machine, one proxy and one model server that sends heartbeats. The two programs are processes of their own. */
+/** One core machine, one proxy and one model server that sends timer. The two programs are processes of their own. */
 final class SmallFleet implements AutoCloseable {
     private static final String CORE_HOST = "127.3.0.1";
     private static final String PROXY_HOST = "127.3.0.2";
@@ -33,6 +33,8 @@
     static final String LONG_ERROR_PATH = "/a/error";
 
     private static final int LONG_ERROR_BYTES = 60_000;
+    private static final long CACHE_EVENTS_WAIT_MS = 800;
+    private static final String NO_CACHE_EVENTS = "{\"epoch\":1,\"next_token\":0,\"lost\":false,\"events\":[]}";
     private static final String CONFIGURATION =
             "{\"version\":1,\"routes\":[{\"name\":\"r\",\"hostname\":\"h.example\",\"path_prefix\":\"/a/\","
                     + "\"route_type\":\"streaming\",\"timeout_ms\":20000,\"target_latency_ms\":400,\"priority\":0,"
@@ -44,29 +46,32 @@
     private final int internalPort = freePort();
     private final int frontendPort = freePort();
     private final int readinessPort = freePort();
-    private final Server modelServer = new Server(SmallFleet::serve);
-    private final ScheduledExecutorService heartbeats = Executors.newSingleThreadScheduledExecutor();
+    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+    private final Server modelServer = new Server(this::serve);
     private final ProgramProcess core;
     private final ProgramProcess proxy;
 
-    SmallFleet(Path folder) throws IOException, InterruptedException {
+    /** Starts a fleet; returns once a request is served. */
+    SmallFleet(Path folder, Resources ofProxy) throws IOException, InterruptedException {
         Path disk = Files.createDirectory(folder.resolve("disk"));
         core = start(
                 folder,
                 CORE_HOST,
                 quartzspan.controlplane.Main.class,
                 "control_plane: \"" + CORE_HOST + ':' + controlPort + '"',
-                '"' + disk.toString() + '"');
+                '"' + disk.toString() + '"',
+                Resources.SMALL);
         proxy = start(
                 folder,
                 PROXY_HOST,
                 quartzspan.frontend.Main.class,
                 "frontend: \"" + PROXY_HOST + ':' + frontendPort + "\"\n  readiness: \"" + PROXY_HOST + ':'
                         + readinessPort + '"',
-                "null");
+                "null",
+                ofProxy);
         String replace = post("/quartzspan/Configuration.Replace", "X-Base-Version: 0\r\n", CONFIGURATION);
         assertTrue(OrdinaryCaller.isServed(core, control(), replace, 200), "the configuration was not accepted");
-        heartbeats.scheduleWithFixedDelay(this::sendHeartbeat, 0, HEARTBEAT_MS, TimeUnit.MILLISECONDS);
+        timer.scheduleWithFixedDelay(this::sendHeartbeat, 0, HEARTBEAT_MS, TimeUnit.MILLISECONDS);
         assertTrue(OrdinaryCaller.isServed(proxy, readiness(), readinessRequest(), 200), "the proxy is not ready");
         assertTrue(OrdinaryCaller.isServed(proxy, frontend(), clientRequest(), 200), "no request is served");
     }
@@ -77,7 +82,8 @@
         }
     }
 
-    private ProgramProcess start(Path folder, String host, Class<?> program, String listen, String dataDirectory)
+    private ProgramProcess start(
+            Path folder, String host, Class<?> program, String listen, String dataDirectory, Resources resources)
             throws IOException {
         Path settings = folder.resolve(host + ".yaml");
         Files.writeString(
@@ -85,15 +91,15 @@
                 "node_name: \"" + host + "\"\nip_address: \"" + host + "\"\nzone: \"z\"\nzones:\n  z: \"r\"\n"
                         + "listen_addresses:\n  " + listen + "\ninternal_ports:\n  - " + internalPort + "\n  - "
                         + internalPort + "\nseed_nodes:\n  - \"" + CORE_HOST + ':' + controlPort
-                        + "\"\nbootstrap: true\nlimits:\n  memory_mb: " + ProgramProcess.MEMORY_MIB
-                        + "\n  file_descriptors: " + ProgramProcess.FILE_DESCRIPTORS + "\ndata_directory: "
+                        + "\"\nbootstrap: true\nlimits:\n  memory_mb: " + resources.memoryMib()
+                        + "\n  file_descriptors: " + resources.fileDescriptors() + "\ndata_directory: "
                         + dataDirectory + "\nheartbeat_ms: " + HEARTBEAT_MS
                         + "\nfault_tolerance:\n  machines: 0\nbounds:\n  strict_revocation: true\n"
                         + "  grace_period_s: 1\n  revocation_ms: 5000\n");
-        return new ProgramProcess(program.getName(), List.of(), "QUARTZSPAN_CONFIG", settings);
+        return new ProgramProcess(program.getName(), List.of(), "QUARTZSPAN_CONFIG", settings, resources);
     }
 
-    private static void serve(ReceivedRequest request) {
+    private void serve(ReceivedRequest request) {
         String path = request.message().first().split(" ")[1];
         String headers = "X-Attempt-Id: " + request.message().header("x-attempt-id") + "\r\nX-Server-Seal: s\r\n";
         if (path.equals(LONG_ERROR_PATH)) {
@@ -104,6 +110,11 @@
                     "Content-Type: application/json\r\n",
                     "{\"busy\":false,\"models\":[{\"name\":\"m\",\"version\":1}],\"call_count\":0,\"queued\":0,"
                             + "\"active\":0}");
+        } else if (path.startsWith("/quartzspan/kv-events")) {
+            timer.schedule(
+                    () -> request.answer(200, "Content-Type: application/json\r\n", NO_CACHE_EVENTS),
+                    CACHE_EVENTS_WAIT_MS,
+                    TimeUnit.MILLISECONDS);
         } else if (!path.equals(HELD_PATH) && !path.startsWith("/quartzspan/")) {
             request.answer(200, headers, "ok");
         }
@@ -160,7 +171,7 @@
 
     @Override
     public void close() throws IOException {
-        heartbeats.shutdownNow();
+        timer.shutdownNow();
         proxy.close();
         core.close();
         modelServer.close();
