Prefix cache index: its size is bounded

What callers saw: valid requests, each with a prompt of 1,400 blocks that no other had, ended a proxy (heap): 3 waves of 40 clients with 30 requests each.

Cause: a proxy records the blocks of each request that a server has begun to answer. Only the server's events, or a gap in them, remove them again, and the server may never have kept them.

Why this works: the index holds an eighth of the heap at most (96 bytes a block). When it is full, a server's new block takes the place of its oldest one; a server whose cache is flooded forgets in the same order.

Evidence: FrontendCrowdTest.promptsOfVeryManyBlocksEndNothing red on, 1 of 1 with three waves; green after, 1 of 1. With one wave the old code held.

--- a/src/main/java/quartzspan/prefixcache/PrefixCacheIndex.java
+++ b/src/main/java/quartzspan/prefixcache/PrefixCacheIndex.java
@@ -2,12 +2,14 @@
 
 import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 
 /**
  * Index of cached prompt blocks: for each server, the number of cached tokens of each block. It is maintained by updates; a gap in
  * their sequence numbers leads to a request for a snapshot. Its content may be slightly stale: it is a hint about where to find
- * blocks, and doesn't decide whether a cached block may be used.
+ * blocks, and doesn't decide whether a cached block may be used. Its size is bounded: when it is full, a server's new block takes
+ * the place of the one that the index has had for longest of that server.
  */
 public final class PrefixCacheIndex {
     /**
@@ -19,14 +21,36 @@
     /** Servers cache whole memory pages: up to this many tokens at the end of a block are not cached. */
     private static final int UNCACHED_TAIL_TOKENS = 64;
 
+    /** What one block of a server occupies in the index, bytes. */
+    private static final int BLOCK_BYTES = 96;
+    /** The part of the heap for the index. */
+    private static final int HEAP_PARTS_PER_INDEX = 8;
+
     private static final class ServerBlocks {
         long snapshotRequestedAtMs = Long.MIN_VALUE / 2;
         long stream;
         long seq;
-        final Map<Long, Integer> blocks = new HashMap<>();
+        /** Cached tokens by block, the one that was recorded first in front. */
+        final Map<Long, Integer> blocks = new LinkedHashMap<>();
     }
 
     private final Map<String, ServerBlocks> servers = new HashMap<>();
+    private final int maxBlocks;
+    private int blockCount;
+
+    /** An empty index, whose size follows from the heap. */
+    public PrefixCacheIndex() {
+        this((int) Math.min(Integer.MAX_VALUE, Runtime.getRuntime().maxMemory() / HEAP_PARTS_PER_INDEX / BLOCK_BYTES));
+    }
+
+    /**
+     * An empty index.
+     *
+     * @param maxBlocks the most blocks that it holds, of all servers together
+     */
+    PrefixCacheIndex(int maxBlocks) {
+        this.maxBlocks = maxBlocks;
+    }
 
     /** Identifies a block: a hash of the salt that it is cached under, its id and its model. */
     public static long blockHash(String salt, String id, String model) {
@@ -50,6 +74,7 @@
             if (update.stream() == entry.stream && update.seq() < entry.seq) {
                 return false;
             }
+            blockCount -= entry.blocks.size();
             entry.blocks.clear();
         } else if (update.stream() != entry.stream || update.seq() > entry.seq + 1) {
             return shouldRequestSnapshot(nowMs, entry);
@@ -72,11 +97,19 @@
         return true;
     }
 
-    private static void put(ServerBlocks entry, long block, int tokens) {
-        if (tokens > 0) {
-            entry.blocks.put(block, tokens);
-        } else {
-            entry.blocks.remove(block);
+    private void put(ServerBlocks entry, long block, int tokens) {
+        if (tokens <= 0) {
+            blockCount -= entry.blocks.remove(block) == null ? 0 : 1;
+        } else if (entry.blocks.put(block, tokens) == null) {
+            blockCount++;
+            makeRoom(entry);
+        }
+    }
+
+    private void makeRoom(ServerBlocks entry) {
+        if (blockCount > maxBlocks) {
+            entry.blocks.remove(entry.blocks.keySet().iterator().next());
+            blockCount--;
         }
     }
 
@@ -117,7 +150,8 @@
     }
 
     public void remove(String server) {
-        servers.remove(server);
+        ServerBlocks removed = servers.remove(server);
+        blockCount -= removed == null ? 0 : removed.blocks.size();
     }
 
     /** Number of a prompt's tokens that a server has cached: a block counts only if all blocks before it are fully cached. */
@@ -138,6 +172,6 @@
 
     /** Number of cached blocks, summed over all servers. */
     public int blockCount() {
-        return servers.values().stream().mapToInt(entry -> entry.blocks.size()).sum();
+        return blockCount;
     }
 }
--- a/src/test/java/quartzspan/misbehavior/FrontendCrowdTest.java
+++ b/src/test/java/quartzspan/misbehavior/FrontendCrowdTest.java
@@ -1,5 +1,6 @@
 package quartzspan.misbehavior;
 
+import java.nio.charset.StandardCharsets;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -12,6 +13,13 @@
 
     private static final int BODY_BYTES = 1_000_000;
 
+    /** Within the limit for heads; some 1,400 blocks. */
+    private static final int PROMPT_BYTES = 15_500;
+
+    /** Few enough that no head is rejected for memory. */
+    private static final int PROMPT_CROWD_SIZE = 40;
+
+    private static final int PROMPTS_PER_MEMBER = 30;
     private static final int WAVES = 3;
     private static final long SEED = 45;
 
@@ -43,6 +51,32 @@
         trial().run(LARGE_CROWD_SIZE, member -> HttpMisbehavior.MISSING_BODY.bytes(target(SmallFleet.HELD_PATH)));
     }
 
+    /** Valid requests, all of whose prompts are new: what is remembered of them has to end too. */
+    @Test
+    void promptsOfVeryManyBlocksEndNothing() throws Exception {
+        SplittableRandom random = new SplittableRandom(SEED);
+        for (int wave = 0; wave < WAVES; wave++) {
+            trial().run(PROMPT_CROWD_SIZE, member -> requestsWithNewPrompts(random));
+        }
+    }
+
+    private static byte[] requestsWithNewPrompts(SplittableRandom random) {
+        StringBuilder requests = new StringBuilder();
+        for (int i = 0; i < PROMPTS_PER_MEMBER; i++) {
+            requests.append(requestWithNewPrompt(random));
+        }
+        return requests.toString().getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    private static String requestWithNewPrompt(SplittableRandom random) {
+        StringBuilder prompt = new StringBuilder("1a:10");
+        while (prompt.length() < PROMPT_BYTES) {
+            prompt.append(',').append(Integer.toHexString(random.nextInt())).append(":9");
+        }
+        return "GET " + SmallFleet.SERVED_PATH + " HTTP/1.1\r\nHost: h.example\r\n"
+                + SmallFleet.CLIENT_HEADERS.replace("1a:10,2b:10,3c:10", prompt) + "\r\n";
+    }
+
     /** All kinds at once, in waves: a new crowd comes as the one before leaves. */
     @Test
     void wavesOfAllKindsEndNothing() throws Exception {
--- a/src/test/java/quartzspan/prefixcache/PrefixCacheIndexTest.java
+++ b/src/test/java/quartzspan/prefixcache/PrefixCacheIndexTest.java
@@ -35,6 +35,26 @@
         assertEquals(0, index.cachedTokens("j", new long[] {1}, new long[] {512}));
     }
 
+    /** Guards against clients whose prompts are all new. */
+    @Test
+    void newBlocksTakeThePlaceOfTheOldestOnesOfTheirServer() {
+        PrefixCacheIndex index = new PrefixCacheIndex(10);
+        index.onPrefill("other", 7, 512);
+        for (int block = 1; block <= 1_000; block++) {
+            index.onPrefill("i", block, 512);
+            assertTrue(index.blockCount() <= 10);
+        }
+        assertEquals(512, index.cachedTokens("i", new long[] {1_000}, new long[] {512}));
+        assertEquals(0, index.cachedTokens("i", new long[] {1}, new long[] {512}));
+        assertEquals(512, index.cachedTokens("other", new long[] {7}, new long[] {512}));
+        index.onPrefill("i", 1_000, 0);
+        assertEquals(9, index.blockCount());
+        index.remove("i");
+        assertEquals(1, index.blockCount());
+        index.apply(0, update(Kind.SNAPSHOT, 1, 1, 5, 512));
+        assertEquals(2, index.blockCount());
+    }
+
     @Test
     void gapRequestsASnapshotAndOldUpdatesChangeNothing() {
         PrefixCacheIndex index = new PrefixCacheIndex();
