Control plane: what waits for the replicas is bounded

Found by reading, not made to fail on running processes: a change, with its body, and a read wait for the other data replicas although their callers have disconnected, and so left the account of the listener. While no quorum answers, a crowd could queue any number.

The rollout's own claim is told of it like of any other rejection.

--- a/src/main/java/quartzspan/common/FleetException.java
+++ b/src/main/java/quartzspan/common/FleetException.java
@@ -18,7 +18,8 @@
         ORDER_FORGOTTEN(8, 503),
         MESSAGE_INVALID(9, 400),
         DOCUMENT_TOO_LARGE(6, 413),
-        REGISTRY_FULL(8, 503);
+        REGISTRY_FULL(8, 503),
+        REPLICA_BUSY(8, 503);
 
         private final int exitStatus;
         private final int httpStatus;
--- a/src/main/java/quartzspan/controlplane/ReplicaHost.java
+++ b/src/main/java/quartzspan/controlplane/ReplicaHost.java
@@ -95,12 +95,23 @@
 
     @Override
     public void submit(Change change, PendingReplicaRequests.Callback callback) {
-        replica.submit(clockMs.getAsLong(), pending.add(callback), change);
+        int bytes = change.body().length;
+        FleetException rejection = pending.rejectionIfFull(bytes);
+        if (rejection != null) {
+            callback.onComplete(rejection, null);
+        } else {
+            replica.submit(clockMs.getAsLong(), pending.add(bytes, callback), change);
+        }
     }
 
     /** Reads the latest control state; the callback receives it once a quorum has confirmed it. */
     void read(PendingReplicaRequests.Callback callback) {
-        replica.read(clockMs.getAsLong(), pending.add(callback));
+        FleetException rejection = pending.rejectionIfFull(0);
+        if (rejection != null) {
+            callback.onComplete(rejection, null);
+        } else {
+            replica.read(clockMs.getAsLong(), pending.add(0, callback));
+        }
     }
 
     /** Whether no request waits for its result. */
--- a/src/test/java/quartzspan/controlplane/SimulatedCore.java
+++ b/src/test/java/quartzspan/controlplane/SimulatedCore.java
@@ -204,7 +204,7 @@
 
     /** Reads the control state as {@code Describe} does; nothing happens if the read is not answered. */
     public void describe(long now, Consumer<ControlState> onRead) {
-        replica.read(now, pending.add((rejection, state) -> {
+        replica.read(now, pending.add(0, (rejection, state) -> {
             if (rejection == null) {
                 onRead.accept(state);
             }
@@ -219,7 +219,7 @@
 
         @Override
         public void submit(Change change, PendingReplicaRequests.Callback callback) {
-            replica.submit(localMs(), pending.add(callback), change);
+            replica.submit(localMs(), pending.add(change.body().length, callback), change);
         }
     }
 
