HttpServer: a branch that can't be reached any more is gone; comments

A request is received only while no other one of its connection is handled, so none times out beside one in flight. The account's comments name what it covers.

--- a/src/main/java/quartzspan/frontend/ProxyMemory.java
+++ b/src/main/java/quartzspan/frontend/ProxyMemory.java
@@ -4,7 +4,7 @@
 
 /**
  * How a proxy divides its heap: a fixed part, a part for each client connection (with its request in flight, its connection to a
- * server and what waits for a slow client), and the rest for the bodies of requests.
+ * server and what waits for a slow client), and the rest for what requests need beyond that: bodies, long heads, waiting input.
  *
  * @param maxConnections the most client connections that it accepts
  * @param bodyBytes the memory for the bodies of all requests, bytes
--- a/src/main/java/quartzspan/http/HttpServer.java
+++ b/src/main/java/quartzspan/http/HttpServer.java
@@ -192,13 +192,7 @@
                 return;
             }
             receivingConnections.remove(longestReceiving);
-            if (longestReceiving.responding) {
-                // Restart the timeout of the next request: closing now would also end the request in flight.
-                longestReceiving.receivingSinceNanos = now;
-                receivingConnections.add(longestReceiving);
-            } else {
-                longestReceiving.onTimeout();
-            }
+            longestReceiving.onTimeout();
         }
     }
 
@@ -250,7 +244,7 @@
         idleConnections.stream().filter(ClientConnection::isIdle).toList().forEach(client -> client.channel.close());
     }
 
-    /** The account of the memory for bodies. */
+    /** The account of the memory for requests. */
     RequestMemory requestMemory() {
         return requestMemory;
     }
@@ -704,7 +698,7 @@
             }
         }
 
-        /** Closes the connection unless a request is in flight or queued; those get their response first. */
+        /** Closes the connection unless a request is in flight or pending; those get their response first. */
         private void closeIfIdle() {
             if (!responding && pending == null) {
                 channel.close();
--- a/src/main/java/quartzspan/http/RequestMemory.java
+++ b/src/main/java/quartzspan/http/RequestMemory.java
@@ -1,9 +1,9 @@
 package quartzspan.http;
 
 /**
- * The account of the memory that the bodies of all clients' requests occupy: from the moment a part of a body is received until the
- * response to its request is complete or its client has disconnected. A body that does not fit is not stored. Confined to one
- * event loop.
+ * The account of the memory that the requests of all clients occupy beyond what each connection has: long heads, bodies, waiting
+ * input and long responses, from the moment that a part of them is received until the response is complete or the client has
+ * disconnected. What does not fit is not stored. Confined to one event loop.
  */
 final class RequestMemory {
     /** Bodies up to this size, in bytes, may use the whole account; the rest of longer ones must leave a part to them. */
