Tenants' names reach servers in UTF-8; names that no header can carry are refused

Cause: OutgoingRequest.encode writes a head as ISO 8859-1. Headers of clients are held as one character a byte, so that is right for them; the name of a tenant is Unicode text from the configuration, and getBytes replaces what it can't encode in silence.

Why this works: HeaderText gives the UTF-8 bytes of a text as characters, which is one-to-one; encode fails for what is no byte; a submitted change is refused (400) if it adds a name with spaces at its ends, control characters or half of a surrogate pair, none of which reaches a recipient as it is. Stored configurations are not checked, so a restart reads what was accepted before; requests of such a tenant get 503 at once.

Names within ISO 8859-1 but outside of ASCII change their bytes in the header.

--- a/src/main/java/quartzspan/cli/Main.java
+++ b/src/main/java/quartzspan/cli/Main.java
@@ -107,6 +107,7 @@
 
     private int check(String file) throws IOException {
         Configuration configuration = Configuration.read(read(file));
+        configuration.checkNewTenantNames(Configuration.NONE);
         out.println("valid: version " + configuration.version() + ", "
                 + configuration.routes().size() + " routes, "
                 + configuration.services().size() + " services");
--- a/src/main/java/quartzspan/configuration/Configuration.java
+++ b/src/main/java/quartzspan/configuration/Configuration.java
@@ -207,6 +207,22 @@
         return new Configuration(ConfigurationPatch.apply(document, patch), this);
     }
 
+    /**
+     * Checks the tenants that this configuration has and its base lacks: servers are told their names in a header. Not part of
+     * reading, since a configuration that an earlier version has accepted must stay readable.
+     *
+     * @throws FleetException if a header can't carry the name of one of them
+     */
+    public void checkNewTenantNames(Configuration base) {
+        for (String name : parsedTenants.keySet()) {
+            if (!base.parsedTenants.containsKey(name) && !HeaderText.isSendable(name)) {
+                throw JsonFields.invalid(
+                        "tenant \"" + name + "\": no header can carry this name, which servers are told",
+                        "use a name without control characters and without spaces at its ends");
+            }
+        }
+    }
+
     /** The patch that turns an older configuration into this one; null if the difference can't be expressed as a patch. */
     public JsonObject patchFrom(Configuration older) {
         return ConfigurationPatch.between(older.document, document);
--- a/src/main/java/quartzspan/frontend/FrontendProxy.java
+++ b/src/main/java/quartzspan/frontend/FrontendProxy.java
@@ -342,6 +342,10 @@
             client.answer(HttpResponseStatus.UNAUTHORIZED);
             return;
         }
+        if (!RequestClassifier.isNameSendable(tenant)) {
+            reject(client, retryAfterUs(route));
+            return;
+        }
         long deadlineUs = RequestClassifier.deadlineUs(route, request, receivedAtUs);
         if (!shutdown.mayForward(nowMs(), deadlineUs / 1000)) {
             rejectedDuringShutdown++;
--- a/src/main/java/quartzspan/frontend/RequestClassifier.java
+++ b/src/main/java/quartzspan/frontend/RequestClassifier.java
@@ -11,6 +11,7 @@
 import quartzspan.configuration.Configuration.Route;
 import quartzspan.configuration.Configuration.Share;
 import quartzspan.configuration.Configuration.Tenant;
+import quartzspan.configuration.HeaderText;
 import quartzspan.http.HttpFraming;
 import quartzspan.http.OutgoingRequest;
 import quartzspan.loadbalancing.PlacementRequest;
@@ -54,6 +55,11 @@
                 : null;
     }
 
+    /** Whether servers can be told the tenant's name. Configurations accepted by an earlier version may have other names. */
+    static boolean isNameSendable(Tenant tenant) {
+        return tenant == null || HeaderText.isSendable(tenant.name());
+    }
+
     /** The request to forward, without the headers that depend on the server. */
     static OutgoingRequest outgoingRequest(
             Configuration configuration, HttpRequest request, byte[] body, Route route, Tenant tenant) {
@@ -64,7 +70,7 @@
             headers.remove(HttpHeaderNames.AUTHORIZATION);
         }
         if (tenant != null) {
-            headers.set("X-Tenant", tenant.name());
+            headers.set("X-Tenant", HeaderText.valueOf(tenant.name()));
         }
         if (route.sessionAffinity()) {
             int tenantPriority = tenant == null ? 0 : Math.max(0, tenant.priority());
--- a/src/main/java/quartzspan/http/OutgoingRequest.java
+++ b/src/main/java/quartzspan/http/OutgoingRequest.java
@@ -14,6 +14,8 @@
 public record OutgoingRequest(String method, String uri, HttpHeaders headers, byte[] body) {
     public static final AsciiString DEADLINE_HEADER = AsciiString.cached("x-deadline-ms");
 
+    private static final int MAX_BYTE = 0xFF;
+
     /** Hop-by-hop headers (RFC 9110, section 7.6.1), and headers that are set for each attempt. */
     private static final List<AsciiString> NOT_FORWARDED_HEADERS = List.of(
             HttpHeaderNames.CONNECTION,
@@ -55,7 +57,15 @@
             text.append("Content-Length: ").append(body.length).append("\r\n");
         }
         text.append("\r\n");
+        requireBytes(text);
         byte[] head = text.toString().getBytes(StandardCharsets.ISO_8859_1);
         return new EncodedRequest(Unpooled.wrappedBuffer(head, body), head.length);
     }
+
+    /** A head holds one character for each byte; anything else would be sent as question marks, the same for different texts. */
+    private static void requireBytes(CharSequence head) {
+        if (head.chars().anyMatch(character -> character > MAX_BYTE)) {
+            throw new IllegalArgumentException("the head of a request has characters that are not bytes");
+        }
+    }
 }
--- a/src/main/java/quartzspan/replication/ControlState.java
+++ b/src/main/java/quartzspan/replication/ControlState.java
@@ -127,6 +127,18 @@
         return new ControlState(next, digests, dropped, weights, rolloutHolder, fencingToken);
     }
 
+    /**
+     * The state after a change that was submitted now. Changes that were accepted before are applied by {@link #with}, which does
+     * not repeat the checks that an earlier version may have lacked.
+     *
+     * @throws FleetException if the change is invalid or is based on another version
+     */
+    ControlState withSubmitted(Change change) {
+        ControlState next = with(change);
+        next.configuration.checkNewTenantNames(configuration);
+        return next;
+    }
+
     private ControlState withTargetVersion(JsonObject body) {
         String model = body.getString("model", "");
         long version = JsonFields.wholeNumber(body, "version", 0);
--- a/src/main/java/quartzspan/replication/PrimaryState.java
+++ b/src/main/java/quartzspan/replication/PrimaryState.java
@@ -234,7 +234,7 @@
             PendingChange pending = pendingChanges.poll();
             ControlState changedState;
             try {
-                changedState = log.state().with(pending.change());
+                changedState = log.state().withSubmitted(pending.change());
             } catch (FleetException rejection) {
                 completeWhenConfirmed(pending.requestId(), rejection);
                 continue;
--- a/src/test/java/quartzspan/frontend/FleetFixture.java
+++ b/src/test/java/quartzspan/frontend/FleetFixture.java
@@ -160,6 +160,17 @@
         callUntilStatus(401, frontendPort, "POST /" + applied + "0/x", "X-Attempt-Id: a\r\n", "");
     }
 
+    /** Sends a change with these tenants that has to be refused as invalid. */
+    static void refuseTenants(String tenants) throws IOException {
+        String change = "{\"version\":" + (configurationVersion + 1) + ",\"upsert\":{\"tenants\":[" + tenants + "]}}";
+        String headers = "X-Base-Version: " + configurationVersion + "\r\n";
+        assertEquals(
+                400,
+                call(controlPort, "POST /quartzspan/Configuration.Update", headers, change)
+                        .status(),
+                tenants);
+    }
+
     private static int[] freePorts(int count) throws IOException {
         List<ServerSocket> sockets = new ArrayList<>();
         int[] ports = new int[count];
--- a/src/test/java/quartzspan/frontend/RequestClassifierTest.java
+++ b/src/test/java/quartzspan/frontend/RequestClassifierTest.java
@@ -1,6 +1,7 @@
 package quartzspan.frontend;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -10,6 +11,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
@@ -70,6 +72,14 @@
         assertNull(RequestClassifier.route(configuration, other));
     }
 
+    /** Guards against requests that hang, of a tenant that an earlier version has accepted. */
+    @Test
+    void tenantWhoseNameNoHeaderCanCarryIsRecognized() {
+        assertTrue(RequestClassifier.isNameSendable(tenant("Token k1")));
+        assertTrue(RequestClassifier.isNameSendable(null), "a public request");
+        assertFalse(RequestClassifier.isNameSendable(new Tenant(" t", List.of("k"), 0, false)));
+    }
+
     @Test
     void deadlineIsTheClientsButNoLaterThanTheRoutesTimeout() {
         Route route = route("/stream/x");
--- a/src/test/java/quartzspan/replication/ControlStateTest.java
+++ b/src/test/java/quartzspan/replication/ControlStateTest.java
@@ -77,6 +77,24 @@
         assertEquals(0, kept.with(replace(7, 8)).configuration().routes().size(), "a replacement doesn't");
     }
 
+    /** Servers are told tenants' names in a header; a configuration that was accepted before stays readable. */
+    @Test
+    void onlyASubmittedChangeIsCheckedForNamesThatNoHeaderCanCarry() {
+        Change unsendable =
+                update(5, "{\"version\":6,\"upsert\":{\"tenants\":[{\"name\":\" t\",\"api_keys\":[\"k\"]}]}}");
+        ControlState state = ControlState.EMPTY.with(replace(0, 5));
+        FleetException rejection = assertThrows(FleetException.class, () -> state.withSubmitted(unsendable));
+        assertEquals(FleetException.Code.CONFIG_INVALID, rejection.code());
+        ControlState earlier = ControlState.parse(state.with(unsendable).bytes());
+        assertEquals(6, earlier.configuration().version());
+        assertEquals(
+                7,
+                earlier.withSubmitted(update(6, "{\"version\":7}"))
+                        .configuration()
+                        .version(),
+                "a change that leaves the tenant alone");
+    }
+
     @Test
     void changeOlderThanTheRetainedDigestsIsRejectedAsForgotten() {
         ControlState state = ControlState.EMPTY;
