Departures of servers are on the disks of a quorum before they are acknowledged

Cause: the acknowledgement rested on f + 1 copies in memory (Registry).

Why this works: a core machine confirms a departure once it is on its disk (DepartureLog, DepartureStore: one more SlotStore in the data directory, on the same disk thread), and the acknowledgement needs a quorum of the voters, f + 1 of them at least (DepartureQuorum). A core machine that has started registers no unknown server until it has merged the registries of a quorum of the voters (DepartureCatchUp), which has one of the holders in it; one whose disk was lost counts in no such quorum until it has caught up. Asked at each heartbeat, not at a tick. CoreDisk owns the data directory and the thread, which ReplicaHost had.

Tests of the acknowledgement now count the acknowledging machine among the holders (number of others plus one), which is as strict. CoreNodeTest's number of others is replaced by DepartureQuorumTest: a membership that is not known makes nothing durable, where it counted as f others before.

--- a/src/main/java/quartzspan/controlplane/ControlPlane.java
+++ b/src/main/java/quartzspan/controlplane/ControlPlane.java
@@ -24,6 +24,7 @@
 import quartzspan.http.RequestHandler;
 import quartzspan.prefixcache.PrefixCacheUpdate;
 import quartzspan.registry.CoreMachine;
+import quartzspan.registry.DepartureRecord;
 import quartzspan.registry.GossipMessage;
 import quartzspan.replication.ControlState;
 import quartzspan.replication.Replica;
@@ -64,6 +65,7 @@
     private final EventLoop loop;
     private final CoreNode node;
     private final TcpTransport transport;
+    private final CoreDisk disk;
     private final ReplicaHost replicaHost;
     private final Replica replica;
     private final HttpServer httpServer;
@@ -90,13 +92,24 @@
                 new Hello(true, self, control, settings.zone()),
                 this::onMessage,
                 settings.fileDescriptors() / DESCRIPTORS_PER_INTERNAL_CONNECTION);
-        this.replicaHost = new ReplicaHost(settings, self, seeds, loop, this::nowMs, transport, this::onStateCommitted);
+        this.disk = new CoreDisk(settings.requiredDataDirectory(), settings.bootstrap());
+        this.replicaHost =
+                new ReplicaHost(settings, self, seeds, loop, this::nowMs, transport, disk, this::onStateCommitted);
         this.replica = replicaHost.replica();
         this.connectionPool =
                 new ConnectionPool(loop, SERVER_CONNECT_TIMEOUT_US, SERVER_IDLE_TIMEOUT_US, MAX_SERVER_CONNECTIONS);
         this.serverClient = new ServerClient(connectionPool);
         this.node = new CoreNode(
-                settings, self, seeds, this::nowMs, replicaHost, transport::send, serverClient, System.nanoTime());
+                settings,
+                self,
+                seeds,
+                this::nowMs,
+                replicaHost,
+                transport::send,
+                serverClient,
+                disk.departures(),
+                this::persistDepartures,
+                System.nanoTime());
         this.httpServer = new HttpServer(this, loop);
         this.prefixCacheIndexer =
                 new PrefixCacheIndexer(this::nowMs, self, node.registry(), node.gossip(), transport, serverClient);
@@ -117,7 +130,7 @@
 
     private RequestRouter createRouter() {
         ServerApi serverApi =
-                new ServerApi(this::nowMs, node.heartbeatHandler(), node.drainAcknowledger(), node::requiredDrainAcks);
+                new ServerApi(this::nowMs, node.heartbeatHandler(), node.drainAcknowledger(), node::isDepartureDurable);
         OperatorApi operatorApi = new OperatorApi(this::nowMs, replicaHost, node.registry());
         return new RequestRouter(DocumentLimits.forHeap(Runtime.getRuntime().maxMemory()))
                 .addRoute("POST", "/quartzspan/Instances.Heartbeat/", serverApi::heartbeat)
@@ -196,7 +209,12 @@
         }
         loop.execute(httpServer::closeAfterResponses);
         group.shutdownGracefully(0, SHUTDOWN_TIMEOUT_MS, TimeUnit.MILLISECONDS).awaitUninterruptibly();
-        replicaHost.close();
+        disk.close();
+    }
+
+    private void persistDepartures(DepartureRecord record) {
+        disk.persistDepartures(
+                record, durable -> loop.execute(() -> node.onDepartureRecordPersisted(nowMs(), durable)));
     }
 
     @Override
--- a/src/main/java/quartzspan/controlplane/CoreNode.java
+++ b/src/main/java/quartzspan/controlplane/CoreNode.java
@@ -4,11 +4,13 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import quartzspan.common.Settings;
 import quartzspan.registry.CoreMachine;
+import quartzspan.registry.DepartureLog;
 import quartzspan.registry.Gossip;
 import quartzspan.registry.GossipMessage;
 import quartzspan.registry.HeartbeatTracker;
@@ -34,6 +36,8 @@
     private final Registry registry;
     private final HeartbeatTracker heartbeats;
     private final Gossip gossip;
+    private final DepartureLog departureLog;
+    private final DepartureCatchUp departureCatchUp;
     private final DrainAcknowledger drainAcknowledger;
     private final RolloutActions rolloutActions;
     private final HeartbeatHandler heartbeatHandler;
@@ -45,6 +49,8 @@
     /**
      * @param self internal address of this machine
      * @param seeds internal addresses of the initial core machines
+     * @param storedDepartures what the disk has of departed servers
+     * @param departureOutput writes to the disk; its results go to {@link #onDepartureRecordPersisted}
      * @param gossipSeed seed of the first nonce, different at each start
      */
     CoreNode(
@@ -55,6 +61,8 @@
             ReplicaAccess replicaAccess,
             Gossip.Sender sender,
             ServerCalls serverCalls,
+            StoredDepartures storedDepartures,
+            DepartureLog.Output departureOutput,
             long gossipSeed) {
         this.toleratedFailures = settings.toleratedFailures();
         this.replica = replicaAccess.replica();
@@ -62,8 +70,18 @@
         this.registry = new Registry(settings.bounds().versionApplyMs());
         this.heartbeats = new HeartbeatTracker(registry, settings.heartbeatMs());
         this.gossip = new Gossip(self, true, seeds, registry, sender, Gossip.firstNonce(gossipSeed));
+        this.departureLog = new DepartureLog(
+                clockMs.getAsLong(),
+                registry,
+                storedDepartures.records(),
+                storedDepartures.complete(),
+                departureOutput);
+        gossip.acknowledgeOnceDurable(departureLog);
+        this.departureCatchUp =
+                new DepartureCatchUp(self, gossip, departureLog, replica::membership, storedDepartures.firstStart());
         this.drainAcknowledger = new DrainAcknowledger(gossip);
-        this.heartbeatHandler = new HeartbeatHandler(registry, heartbeats, gossip, this::freshAtMs);
+        this.heartbeatHandler =
+                new HeartbeatHandler(registry, heartbeats, gossip, this::freshAtMs, departureCatchUp::isCaughtUp);
         this.rolloutActions = new RolloutActions(
                 settings, self, clockMs, replicaAccess, heartbeats, gossip, serverCalls, registry.weightsDeadlines());
     }
@@ -93,6 +111,8 @@
     void onTick(long now) {
         freshAtMs();
         gossip.onTick(now, replica.isPrimary() ? null : replica.knownPrimary(now));
+        departureCatchUp.onTick(now);
+        departureLog.onTick(now);
         reportHeartbeats(now);
         expireUnresponsive(now);
         registry.expire(now);
@@ -159,6 +179,10 @@
             heartbeats.onPeerReport(now, message.entries());
             return;
         }
+        if (proxyZone == null && message.kind() == GossipMessage.Kind.QUERY && !departureLog.isComplete()) {
+            // A reply would count as all departures that this machine has confirmed, but its disk was lost.
+            return;
+        }
         if (proxyZone != null) {
             RegistryEntry joined = heartbeats.onProxyMessage(now, from, proxyZone);
             if (joined != null) {
@@ -175,12 +199,13 @@
         }
     }
 
-    /**
-     * Number of other core machines that must have the entry of a draining server: the number of machines that may be lost at
-     * once.
-     */
-    int requiredDrainAcks() {
-        int others = replica.membership().voters().size() - 1;
-        return others < 0 ? toleratedFailures : Math.min(toleratedFailures, others);
+    /** A record of departed servers is on disk, or could not be written. Records are reported in order. */
+    void onDepartureRecordPersisted(long now, boolean durable) {
+        departureLog.onPersisted(now, durable);
+    }
+
+    /** Whether these core machines are enough to hold the entry of a server that leaves, so that it can be acknowledged. */
+    boolean isDepartureDurable(Set<String> holders) {
+        return DepartureQuorum.isDurable(replica.membership(), toleratedFailures, holders);
     }
 }
--- a/src/main/java/quartzspan/controlplane/DrainAcknowledger.java
+++ b/src/main/java/quartzspan/controlplane/DrainAcknowledger.java
@@ -4,17 +4,17 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Predicate;
 import quartzspan.common.FleetException;
 import quartzspan.registry.Gossip;
-import quartzspan.registry.Registry;
 import quartzspan.registry.RegistryEntry;
 
 /**
  * Acknowledges the requests by which servers announce that they drain ({@code draining}, {@code Deregister}). After the
  * acknowledgement all proxies must be informed even if as many core machines as may be lost at once are lost immediately,
- * including the acknowledging one. A request is therefore acknowledged only when that many other core machines have the
- * entry; otherwise it is rejected early enough for the server to call another machine. No clock, no I/O; times are
- * milliseconds of a steady clock.
+ * including the acknowledging one, and even if all processes end. A request is therefore acknowledged only when enough core
+ * machines have the entry on disk; otherwise it is rejected early enough for the server to call another machine. No clock, no
+ * I/O; times are milliseconds of a steady clock.
  */
 final class DrainAcknowledger {
     /** A server waits one second for the response; a rejection must reach it before that. */
@@ -59,19 +59,14 @@
     }
 
     /**
-     * Broadcasts an entry, and acknowledges the request once enough core machines have the entry.
+     * Broadcasts an entry, and acknowledges the request once enough core machines have the entry on disk.
      *
-     * @param requiredAcks number of other core machines that must have it
+     * @param enough whether these machines, which hold the entry, are enough
      */
-    PendingRequest begin(long now, RegistryEntry entry, int requiredAcks, Caller caller) {
+    PendingRequest begin(long now, RegistryEntry entry, Predicate<Set<String>> enough, Caller caller) {
         PendingRequest request = new PendingRequest(caller, now + ACKNOWLEDGEMENT_TIMEOUT_MS);
-        if (requiredAcks == 0) {
-            gossip.broadcast(now, new Registry.Update(List.of(entry), false), null);
-            caller.acknowledge();
-            return request;
-        }
         pending.add(request);
-        request.broadcastId = gossip.broadcastUntilAcknowledged(now, List.of(entry), requiredAcks, () -> {
+        request.broadcastId = gossip.broadcastUntilAcknowledged(now, List.of(entry), enough, () -> {
             if (pending.remove(request)) {
                 caller.acknowledge();
             }
@@ -88,7 +83,7 @@
                 gossip.cancelBroadcast(request.broadcastId);
                 request.caller.reject(new FleetException(
                         FleetException.Code.NOT_PRIMARY,
-                        "too few other core machines have acknowledged the server's entry in time",
+                        "too few core machines have stored the server's entry in time",
                         "call another core machine"));
             }
         }
--- a/src/main/java/quartzspan/controlplane/HeartbeatHandler.java
+++ b/src/main/java/quartzspan/controlplane/HeartbeatHandler.java
@@ -2,6 +2,7 @@
 
 import jakarta.json.JsonArray;
 import jakarta.json.JsonObject;
+import java.util.function.LongPredicate;
 import java.util.function.LongSupplier;
 import quartzspan.common.FleetException;
 import quartzspan.configuration.JsonFields;
@@ -28,10 +29,20 @@
     private final HeartbeatTracker heartbeats;
     private final Gossip gossip;
     private final LongSupplier freshAtMs;
+    private final LongPredicate knowsDepartures;
 
-    /** @param freshAtMs time at which the local state was last known to be the latest */
-    HeartbeatHandler(Registry registry, HeartbeatTracker heartbeats, Gossip gossip, LongSupplier freshAtMs) {
+    /**
+     * @param freshAtMs time at which the local state was last known to be the latest
+     * @param knowsDepartures whether this machine knows at a time all servers that have left
+     */
+    HeartbeatHandler(
+            Registry registry,
+            HeartbeatTracker heartbeats,
+            Gossip gossip,
+            LongSupplier freshAtMs,
+            LongPredicate knowsDepartures) {
         this.freshAtMs = freshAtMs;
+        this.knowsDepartures = knowsDepartures;
         this.registry = registry;
         this.heartbeats = heartbeats;
         this.gossip = gossip;
@@ -47,6 +58,9 @@
         checkRoom(id);
         JsonObject json = JsonFields.parse(body);
         boolean draining = json.getString("state", "ready").equals("draining");
+        if (!draining) {
+            checkMayBeReady(now, id);
+        }
         RegistryEntry update = heartbeats.onServerHeartbeat(
                 now,
                 id,
@@ -75,6 +89,21 @@
         return update != null ? update : registry.entry(RegistryEntry.Subject.SERVER, id);
     }
 
+    /**
+     * Rejects a server that this machine does not know as ready while it may lack departures: the heartbeat may be a delayed one,
+     * sent before the server has left.
+     */
+    private void checkMayBeReady(long now, String id) {
+        RegistryEntry known = registry.entry(RegistryEntry.Subject.SERVER, id);
+        boolean becomesReady = known == null || known.state() == RegistryEntry.State.LOST;
+        if (becomesReady && !knowsDepartures.test(now)) {
+            throw new FleetException(
+                    FleetException.Code.NOT_PRIMARY,
+                    "this core machine has started and does not know yet which servers have left",
+                    "call another core machine, or retry in a moment");
+        }
+    }
+
     /** Rejects a server that would be one too many: its entry would be kept by every process of the fleet. */
     private void checkRoom(String id) {
         if (id.length() > MAX_TEXT_LENGTH) {
--- a/src/main/java/quartzspan/controlplane/ReplicaHost.java
+++ b/src/main/java/quartzspan/controlplane/ReplicaHost.java
@@ -2,8 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import java.util.List;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
 import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -15,13 +13,10 @@
 import quartzspan.replication.Replica;
 import quartzspan.replication.ReplicaMessage;
 import quartzspan.replication.ReplicaRole;
-import quartzspan.replication.ReplicaStore;
-import quartzspan.store.FileDisk;
-import quartzspan.store.SlotStore;
 import quartzspan.transport.Transport;
 
 /**
- * Runs the replica of the control state: connects it to the network, to a disk with a thread of its own, and to the requests
+ * Runs the replica of the control state: connects it to the network, to the disk, and to the requests
  * that wait for its result. All calls are made on the event loop.
  */
 final class ReplicaHost implements ReplicaAccess {
@@ -36,8 +31,7 @@
     private final LongSupplier clockMs;
     private final Transport transport;
     private final CommitListener listener;
-    private final ExecutorService diskThread = Executors.newSingleThreadExecutor(task -> new Thread(task, "disk"));
-    private final ReplicaStore store;
+    private final CoreDisk disk;
     private final PendingReplicaRequests pending = new PendingReplicaRequests();
     private final Replica replica;
     private ReplicaRole lastRole;
@@ -53,41 +47,24 @@
             EventLoop loop,
             LongSupplier clockMs,
             Transport transport,
+            CoreDisk disk,
             CommitListener listener) {
         this.loop = loop;
         this.clockMs = clockMs;
         this.transport = transport;
+        this.disk = disk;
         this.listener = listener;
-        this.store = new ReplicaStore(new SlotStore(new FileDisk(settings.requiredDataDirectory())));
-        List<byte[]> records = openStore(store);
         this.replica = new Replica(
                 self,
                 seeds,
                 settings.toleratedFailures(),
-                settings.bootstrap() && !store.discarded(),
-                records,
+                settings.bootstrap() && !disk.isReplicaDiscarded(),
+                disk.replicaRecords(),
                 System.nanoTime(),
                 clockMs.getAsLong(),
                 new ReplicaOutput());
     }
 
-    /**
-     * Opens the store. A damaged store is discarded and counts as empty: the other machines know what this one has
-     * promised.
-     */
-    private static List<byte[]> openStore(ReplicaStore store) {
-        try {
-            return store.open();
-        } catch (FleetException failure) {
-            if (failure.code() != FleetException.Code.STORE_DAMAGED) {
-                throw failure;
-            }
-            LOG.error("store discarded, recovering from the other core machines: {}", failure.toString());
-            store.discard();
-            return List.of();
-        }
-    }
-
     @Override
     public Replica replica() {
         return replica;
@@ -138,11 +115,6 @@
         }
     }
 
-    /** Stops the disk thread; acknowledged changes are already on disk. */
-    void close() {
-        diskThread.shutdownNow();
-    }
-
     private final class ReplicaOutput implements Replica.Output {
         @Override
         public void send(String to, ReplicaMessage message) {
@@ -151,10 +123,9 @@
 
         @Override
         public void persist(long recordNumber, byte[] record) {
-            diskThread.execute(() -> {
-                boolean durable = store.persist(record);
-                loop.execute(() -> replica.onPersisted(clockMs.getAsLong(), recordNumber, durable));
-            });
+            disk.persistReplicaRecord(
+                    record,
+                    durable -> loop.execute(() -> replica.onPersisted(clockMs.getAsLong(), recordNumber, durable)));
         }
 
         @Override
--- a/src/main/java/quartzspan/controlplane/ServerApi.java
+++ b/src/main/java/quartzspan/controlplane/ServerApi.java
@@ -1,8 +1,9 @@
 package quartzspan.controlplane;
 
 import io.netty.handler.codec.http.HttpRequest;
-import java.util.function.IntSupplier;
+import java.util.Set;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import quartzspan.common.FleetException;
 import quartzspan.http.HttpServer.ClientConnection;
 import quartzspan.registry.RegistryEntry;
@@ -12,18 +13,18 @@
     private final LongSupplier clockMs;
     private final HeartbeatHandler handler;
     private final DrainAcknowledger drainAcknowledger;
-    private final IntSupplier requiredAcks;
+    private final Predicate<Set<String>> enoughHolders;
 
-    /** @param requiredAcks number of other core machines that must have the entry of a draining server */
+    /** @param enoughHolders whether these core machines are enough to hold the entry of a server that leaves */
     ServerApi(
             LongSupplier clockMs,
             HeartbeatHandler handler,
             DrainAcknowledger drainAcknowledger,
-            IntSupplier requiredAcks) {
+            Predicate<Set<String>> enoughHolders) {
         this.clockMs = clockMs;
         this.handler = handler;
         this.drainAcknowledger = drainAcknowledger;
-        this.requiredAcks = requiredAcks;
+        this.enoughHolders = enoughHolders;
     }
 
     void heartbeat(ClientConnection client, HttpRequest request, byte[] body, String id) {
@@ -52,7 +53,7 @@
             }
         };
         DrainAcknowledger.PendingRequest pending =
-                drainAcknowledger.begin(clockMs.getAsLong(), draining, requiredAcks.getAsInt(), caller);
+                drainAcknowledger.begin(clockMs.getAsLong(), draining, enoughHolders, caller);
         if (pending.isPending()) {
             client.onDisconnect(pending::cancel);
         }
--- a/src/main/java/quartzspan/registry/AcknowledgementTracker.java
+++ b/src/main/java/quartzspan/registry/AcknowledgementTracker.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * Tracks which core machines have acknowledged entries, for updates that are only durable once enough machines have them. A
@@ -23,7 +24,7 @@
     record Retry(long nonce, List<RegistryEntry> entries, List<String> recipients) {}
 
     private static final class Pending {
-        private final int required;
+        private final Predicate<Set<String>> enough;
         private final List<RegistryEntry> entries;
         private final Runnable onAcknowledged;
         private final Set<String> recipients;
@@ -31,12 +32,12 @@
         private long sentAtMs;
 
         Pending(
-                int required,
+                Predicate<Set<String>> enough,
                 List<String> recipients,
                 List<RegistryEntry> entries,
                 Runnable onAcknowledged,
                 long sentAtMs) {
-            this.required = required;
+            this.enough = enough;
             this.recipients = new HashSet<>(recipients);
             this.entries = entries;
             this.onAcknowledged = onAcknowledged;
@@ -49,18 +50,18 @@
     /**
      * Starts to track the acknowledgements of a broadcast.
      *
-     * @param required number of distinct machines that must acknowledge, at least one
-     * @param recipients the machines to which the entries are sent
-     * @param onAcknowledged run when the required number of machines have acknowledged
+     * @param enough whether the acknowledgements of these machines are enough
+     * @param recipients the machines whose acknowledgements count
+     * @param onAcknowledged run once when enough machines have acknowledged
      */
     void track(
             long now,
             long nonce,
-            int required,
+            Predicate<Set<String>> enough,
             List<String> recipients,
             List<RegistryEntry> entries,
             Runnable onAcknowledged) {
-        pendingByNonce.put(nonce, new Pending(required, recipients, entries, onAcknowledged, now));
+        pendingByNonce.put(nonce, new Pending(enough, recipients, entries, onAcknowledged, now));
         if (pendingByNonce.size() > MAX_PENDING) {
             Iterator<Long> oldest = pendingByNonce.keySet().iterator();
             oldest.next();
@@ -74,7 +75,7 @@
         if (pending != null
                 && pending.recipients.contains(acknowledger)
                 && pending.acknowledgedBy.add(acknowledger)
-                && pending.acknowledgedBy.size() >= pending.required) {
+                && pending.enough.test(pending.acknowledgedBy)) {
             pendingByNonce.remove(nonce);
             pending.onAcknowledged.run();
         }
--- a/src/main/java/quartzspan/registry/Gossip.java
+++ b/src/main/java/quartzspan/registry/Gossip.java
@@ -1,14 +1,17 @@
 package quartzspan.registry;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.Predicate;
 
 /**
  * Replicates the registry and the published state between processes. An update is sent at once to a few peers, which forward
@@ -72,6 +75,9 @@
     private long nextPeerQueryAtMs;
     private int roundRobinCounter;
     private boolean acknowledgementsStopped;
+    private EntryDurability durability = EntryDurability.IN_MEMORY;
+    /** Core machines of which this process has merged all entries since it started. */
+    private final Set<String> mergedCores = new HashSet<>();
     /** Core machines in order of preference, cached until the registry or the preference changes. */
     private List<String> rankedCores = List.of();
 
@@ -238,6 +244,21 @@
         return update;
     }
 
+    /** Acknowledges entries from now on only once they are durable at this process. */
+    public void acknowledgeOnceDurable(EntryDurability entryDurability) {
+        durability = entryDurability;
+    }
+
+    /** The core machines of which this process has merged all entries that they had at some time since it started. */
+    public Set<String> mergedCores() {
+        return Collections.unmodifiableSet(mergedCores);
+    }
+
+    /** Queries the core machines that {@link #mergedCores} lacks. */
+    public void queryCoresToMerge(long now) {
+        cores().stream().filter(core -> !mergedCores.contains(core)).forEach(core -> query(now, core, false));
+    }
+
     /** Stops acknowledging entries, since this process is about to shut down. */
     public void stopAcknowledging() {
         acknowledgementsStopped = true;
@@ -265,8 +286,11 @@
                             : 0);
         }
         Registry.Update update = registry.merge(now, message, query == null ? Registry.NEVER : query.sentAtMs());
-        if (query != null && confirmsView(query, from, message)) {
-            stallGuard.onConfirmed(query.sentAtMs());
+        if (query != null && areEntriesComplete(query, from, message)) {
+            mergedCores.add(from);
+            if (registry.stateIndex() >= message.stateIndex()) {
+                stallGuard.onConfirmed(query.sentAtMs());
+            }
         }
         if (query != null && message.digests().length == Registry.BUCKETS) {
             if (query.full()) {
@@ -279,10 +303,9 @@
         return update;
     }
 
-    /** Whether the sender, a core machine, has no entry and no state that this process lacks after the merge. */
-    private boolean confirmsView(Query query, String from, GossipMessage reply) {
-        boolean entriesComplete = query.full() || reply.digests().length == 0;
-        return entriesComplete && registry.stateIndex() >= reply.stateIndex() && cores().contains(from);
+    /** Whether the sender, a core machine, has no entry that this process lacks after the merge. */
+    private boolean areEntriesComplete(Query query, String from, GossipMessage reply) {
+        return (query.full() || reply.digests().length == 0) && cores().contains(from);
     }
 
     /**
@@ -296,12 +319,18 @@
     private Registry.Update onUpdate(long now, String from, GossipMessage message) {
         Registry.Update update = registry.merge(now, message, Registry.NEVER);
         if (message.nonce() != 0 && !acknowledgementsStopped) {
-            sender.send(from, GossipMessage.acknowledgement(message.nonce()));
+            durability.whenDurable(now, message.entries(), () -> acknowledge(from, message.nonce()));
         }
         stateFetch.onIndex(now, from, message.stateIndex(), !message.deltas().isEmpty());
         return update;
     }
 
+    private void acknowledge(String to, long nonce) {
+        if (!acknowledgementsStopped) {
+            sender.send(to, GossipMessage.acknowledgement(nonce));
+        }
+    }
+
     /** Replies with the deltas from the requester's state to the local one, or with a snapshot chunk if they are not available. */
     private Registry.Update onFetch(String from, GossipMessage message) {
         StateFollower stateFollower = registry.stateFollower();
@@ -395,15 +424,14 @@
     }
 
     /**
-     * Broadcasts entries until enough other core machines have acknowledged them, so that they survive the failure of this
-     * process and of some others. Until then, or until {@link #cancelBroadcast}, they are sent again to the core machines that
-     * have not acknowledged them.
+     * Broadcasts entries until enough core machines, this process included, hold them durably. Until then, or until
+     * {@link #cancelBroadcast}, they are sent again to the core machines that have not acknowledged them.
      *
-     * @param required number of other core machines that must acknowledge, at least one
+     * @param enough whether these processes, which hold the entries, are enough
      * @return the nonce to pass to {@link #cancelBroadcast}
      */
     public long broadcastUntilAcknowledged(
-            long now, List<RegistryEntry> update, int required, Runnable onAcknowledged) {
+            long now, List<RegistryEntry> update, Predicate<Set<String>> enough, Runnable onAcknowledged) {
         List<String> cores = cores();
         List<String> others = new ArrayList<>(subscribers.keySet());
         if (!isCoreMachine) {
@@ -413,8 +441,11 @@
         GossipMessage message = GossipMessage.update(0, registry.stateIndex(), update, List.of());
         others.forEach(to -> sender.send(to, message));
         long nonce = ++lastNonce;
-        acknowledgements.track(now, nonce, required, cores, update, onAcknowledged);
+        List<String> holders = new ArrayList<>(cores);
+        holders.add(self);
+        acknowledgements.track(now, nonce, enough, holders, update, onAcknowledged);
         sendForAcknowledgement(nonce, update, cores);
+        durability.whenDurable(now, update, () -> acknowledgements.onAcknowledgement(nonce, self));
         return nonce;
     }
 
--- a/src/test/java/quartzspan/controlplane/CoreCluster.java
+++ b/src/test/java/quartzspan/controlplane/CoreCluster.java
@@ -8,6 +8,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -69,19 +70,39 @@
     }
 
     void start(String host, boolean bootstrap) throws Exception {
+        machines.put(host, ControlPlane.start(Settings.parse(settings(host, bootstrap))));
+    }
+
+    private String settings(String host, boolean bootstrap) {
         StringBuilder seeds = new StringBuilder();
         HOSTS.forEach(h ->
                 seeds.append("  - \"").append(h).append(':').append(controlPort).append("\"\n"));
-        machines.put(
-                host,
-                ControlPlane.start(Settings.parse("node_name: \"core-" + host + "\"\nip_address: \"" + host
-                        + "\"\nzone: \"z\"\nzones:\n  z: \"r\"\nlisten_addresses:\n  control_plane: \"" + host + ':'
-                        + controlPort + "\"\ninternal_ports:\n  - " + internalPort + "\n  - " + internalPort
-                        + "\nseed_nodes:\n" + seeds + "bootstrap: " + bootstrap
-                        + "\nquorum_member: true\nlimits:\n  memory_mb: 256\n"
-                        + "  file_descriptors: 1024\ndata_directory: \"" + folder.resolve(host)
-                        + "\"\nheartbeat_ms: 1200\nfault_tolerance:\n  machines: 1\nbounds:\n"
-                        + "  strict_revocation: true\n  grace_period_s: " + gracePeriodS + "\n")));
+        return "node_name: \"core-" + host + "\"\nip_address: \"" + host
+                + "\"\nzone: \"z\"\nzones:\n  z: \"r\"\nlisten_addresses:\n  control_plane: \"" + host + ':'
+                + controlPort + "\"\ninternal_ports:\n  - " + internalPort + "\n  - " + internalPort
+                + "\nseed_nodes:\n" + seeds + "bootstrap: " + bootstrap
+                + "\nquorum_member: true\nlimits:\n  memory_mb: 256\n"
+                + "  file_descriptors: 1024\ndata_directory: \"" + folder.resolve(host)
+                + "\"\nheartbeat_ms: 1200\nfault_tolerance:\n  machines: 1\nbounds:\n"
+                + "  strict_revocation: true\n  grace_period_s: " + gracePeriodS + "\n";
+    }
+
+    /** Starts a machine as a process of its own, which the caller has to end. */
+    Process startProcess(String host, boolean bootstrap) throws IOException {
+        Path file = folder.resolve(host + ".yaml");
+        Files.writeString(file, settings(host, bootstrap));
+        ProcessBuilder builder = new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-Xmx128m",
+                "-cp",
+                System.getProperty("java.class.path"),
+                Main.class.getName());
+        builder.environment().put("QUARTZSPAN_CONFIG", file.toString());
+        return builder.redirectErrorStream(true)
+                .redirectOutput(folder.resolve(host + ".log").toFile())
+                .start();
     }
 
     void startAll() throws Exception {
--- a/src/test/java/quartzspan/controlplane/CoreNodeTest.java
+++ b/src/test/java/quartzspan/controlplane/CoreNodeTest.java
@@ -34,15 +34,21 @@
     private final List<Sent> sent = new ArrayList<>();
     private long nowMs;
     private final Replica replica = new Replica(SEEDS.get(0), SEEDS, 1, false, List.of(), 1, 0, new NoOutput());
-    private final CoreNode node = new CoreNode(
-            Settings.parse(Bounds.settings("10.0.0.1", 1)),
-            SEEDS.get(0),
-            SEEDS,
-            () -> nowMs,
-            new Access(),
-            (to, message) -> sent.add(new Sent(to, message)),
-            new NoCalls(),
-            1);
+    private final CoreNode node = node(StoredDepartures.FIRST_START);
+
+    private CoreNode node(StoredDepartures storedDepartures) {
+        return new CoreNode(
+                Settings.parse(Bounds.settings("10.0.0.1", 1)),
+                SEEDS.get(0),
+                SEEDS,
+                () -> nowMs,
+                new Access(),
+                (to, message) -> sent.add(new Sent(to, message)),
+                new NoCalls(),
+                storedDepartures,
+                record -> {},
+                1);
+    }
 
     private static final class NoOutput implements Replica.Output {
         @Override
@@ -225,8 +231,25 @@
         assertTrue(node.isDeregistered("i"));
     }
 
+    private static GossipMessage query() {
+        return new GossipMessage(
+                GossipMessage.Kind.QUERY, 7, -1, -1, new long[1], List.of(), List.of(), SnapshotChunk.NONE, List.of());
+    }
+
+    /** A reply would say that it knows all departures that it has confirmed. */
+    @Test
+    void machineWhoseDiskWasLostAnswersNoCoreMachine() {
+        CoreNode withLostDisk = node(new StoredDepartures(List.of(), false, false));
+        withLostDisk.onGossip(nowMs, SEEDS.get(1), null, query());
+        assertEquals(List.of(), receivers(GossipMessage.Kind.REPLY));
+        withLostDisk.onGossip(nowMs, "10.2.0.1:1", "z", query());
+        assertEquals(List.of("10.2.0.1:1"), receivers(GossipMessage.Kind.REPLY));
+        node(new StoredDepartures(List.of(), true, false)).onGossip(nowMs, SEEDS.get(1), null, query());
+        assertEquals(List.of("10.2.0.1:1", SEEDS.get(1)), receivers(GossipMessage.Kind.REPLY));
+    }
+
     @Test
-    void drainIsAcknowledgedByAsManyOthersAsMayBeLostAtOnce() {
-        assertEquals(1, node.requiredDrainAcks(), "no membership is known yet");
+    void noDepartureIsDurableWhileNoMembershipIsKnown() {
+        assertFalse(node.isDepartureDurable(Set.copyOf(SEEDS)));
     }
 }
--- a/src/test/java/quartzspan/controlplane/DrainAcknowledgerTest.java
+++ b/src/test/java/quartzspan/controlplane/DrainAcknowledgerTest.java
@@ -81,7 +81,8 @@
 
     private DrainAcknowledger.PendingRequest drain(int requiredAcks) {
         registries.get("c1:1").merge(now, DRAINING);
-        return drainAcknowledger.begin(now, DRAINING, requiredAcks, caller());
+        // The acknowledging machine itself is one of the holders.
+        return drainAcknowledger.begin(now, DRAINING, holders -> holders.size() > requiredAcks, caller());
     }
 
     private void deliver() {
--- a/src/test/java/quartzspan/controlplane/HeartbeatHandlerTest.java
+++ b/src/test/java/quartzspan/controlplane/HeartbeatHandlerTest.java
@@ -22,11 +22,13 @@
     private static final long APPLY_MS = 10_000;
 
     private final Registry registry = new Registry(APPLY_MS);
+    private boolean knowsDepartures = true;
     private final HeartbeatHandler handler = new HeartbeatHandler(
             registry,
             new HeartbeatTracker(registry, 1_200),
             new Gossip("c1:1", true, List.of("c1:1", "c2:1"), registry, (to, message) -> {}),
-            registry::freshAtMs);
+            registry::freshAtMs,
+            now -> knowsDepartures);
 
     private static byte[] body(long count, String state) {
         return ("{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"state\":\"" + state
@@ -52,6 +54,34 @@
         assertNull(handler.onHeartbeat(disconnectedAtMs, "i", body(3, "ready")));
     }
 
+    /** Guards against a delayed heartbeat that makes a server ready again after all processes have forgotten its departure. */
+    @Test
+    void unknownServerIsNotReadyUntilAllDeparturesAreKnown() {
+        registry.confirmFresh(10_000);
+        handler.onHeartbeat(10_000, "known", body(1, "ready"));
+        knowsDepartures = false;
+        FleetException rejection =
+                assertThrows(FleetException.class, () -> handler.onHeartbeat(10_000, "i", body(1, "ready")));
+        assertEquals(503, rejection.code().httpStatus());
+        assertNull(registry.entry(RegistryEntry.Subject.SERVER, "i"), "not applied");
+        assertNull(handler.onHeartbeat(10_000, "known", body(2, "ready")), "that one is not in doubt");
+        assertNotNull(handler.onHeartbeat(10_000, "i", body(2, "draining")), "a departure is always taken");
+        assertNotNull(handler.onDeregistration(10_000, "i"));
+        knowsDepartures = true;
+        assertNull(handler.onHeartbeat(10_000, "j", body(1, "ready")));
+    }
+
+    @Test
+    void lostServerIsNotReadyUntilAllDeparturesAreKnown() {
+        registry.confirmFresh(10_000);
+        RegistryEntry lost = new RegistryEntry(
+                RegistryEntry.Subject.SERVER, "i", 4, RegistryEntry.State.LOST, "s\t10.0.0.9:80\tz\tm\t1\t0");
+        registry.merge(10_000, lost);
+        knowsDepartures = false;
+        assertThrows(FleetException.class, () -> handler.onHeartbeat(10_000, "i", body(9, "ready")));
+        assertEquals(RegistryEntry.State.LOST, state());
+    }
+
     @Test
     void drainingEntryMustBeAcknowledgedByOtherMachines() {
         assertEquals(
--- a/src/test/java/quartzspan/controlplane/SimulatedCore.java
+++ b/src/test/java/quartzspan/controlplane/SimulatedCore.java
@@ -9,6 +9,7 @@
 import quartzspan.common.FleetException;
 import quartzspan.common.Settings;
 import quartzspan.registry.CoreMachine;
+import quartzspan.registry.DepartureRecord;
 import quartzspan.registry.GossipMessage;
 import quartzspan.registry.RegistryEntry;
 import quartzspan.registry.Server;
@@ -44,8 +45,11 @@
     private final ServerNetwork servers;
     private final Consumer<ControlState> onCommitted;
     private boolean bootstrap;
-    private List<byte[]> disk = new ArrayList<>();
-    private final List<byte[]> writesInFlight = new ArrayList<>();
+    private final List<byte[]> disk = new ArrayList<>();
+    private final List<DepartureRecord> departuresOnDisk = new ArrayList<>();
+    /** The changes of the disk that writes in flight will make, oldest first. */
+    private final List<Runnable> writesInFlight = new ArrayList<>();
+
     private long diskIdleAtMs;
     private long diskDelayMs;
     private boolean diskFull;
@@ -84,6 +88,7 @@
                 world.random().nextLong(),
                 now,
                 new Output());
+        StoredDepartures stored = StoredDepartures.of(List.copyOf(departuresOnDisk), false, disk.isEmpty(), bootstrap);
         bootstrap = false;
         node = new CoreNode(
                 settings,
@@ -93,6 +98,8 @@
                 new Access(),
                 (to, message) -> send(World.Crossing.GOSSIP_MESSAGE, to, message),
                 new Calls(),
+                stored,
+                this::persistDepartures,
                 world.random().nextLong());
         node.register(now, new CoreMachine(name(), name(), "z"));
         onTick(now);
@@ -126,7 +133,7 @@
     @Override
     protected void onKilled() {
         int kept = world.random().nextInt(writesInFlight.size() + 1);
-        disk.addAll(writesInFlight.subList(0, kept));
+        writesInFlight.subList(0, kept).forEach(Runnable::run);
         writesInFlight.clear();
         writeEpoch++;
         diskIdleAtMs = 0;
@@ -134,7 +141,8 @@
 
     /** Replaces the disk by an empty one; to be called while the process is not running. */
     public void loseDisk() {
-        disk = new ArrayList<>();
+        disk.clear();
+        departuresOnDisk.clear();
     }
 
     /** Adds to the time of each write; a negative value takes it back. */
@@ -178,7 +186,7 @@
     }
 
     private void acknowledgeDrain(long now, RegistryEntry draining, Runnable onAcknowledged) {
-        node.drainAcknowledger().begin(now, draining, node.requiredDrainAcks(), new DrainAcknowledger.Caller() {
+        node.drainAcknowledger().begin(now, draining, node::isDepartureDurable, new DrainAcknowledger.Caller() {
             @Override
             public void acknowledge() {
                 onAcknowledged.run();
@@ -211,6 +219,42 @@
         }));
     }
 
+    private void persistDepartures(DepartureRecord record) {
+        world.cross(World.Crossing.DISK_WRITE, name());
+        write(() -> applyToDisk(record), node::onDepartureRecordPersisted);
+    }
+
+    private void applyToDisk(DepartureRecord record) {
+        if (record.checkpoint()) {
+            departuresOnDisk.clear();
+        }
+        departuresOnDisk.add(record);
+    }
+
+    private interface WriteListener {
+        void onWritten(long now, boolean durable);
+    }
+
+    /** Makes a change of the disk after those before it; none if the disk is full or the process ends first. */
+    private void write(Runnable change, WriteListener listener) {
+        writesInFlight.add(change);
+        long expectedEpoch = writeEpoch;
+        long doneAtMs =
+                Math.max(world.nowMs(), diskIdleAtMs) + 1 + world.random().nextInt(MAX_WRITE_MS) + diskDelayMs;
+        diskIdleAtMs = doneAtMs;
+        world.schedule(doneAtMs - world.nowMs(), () -> {
+            if (writeEpoch != expectedEpoch) {
+                return;
+            }
+            Runnable written = writesInFlight.remove(0);
+            boolean durable = !diskFull;
+            if (durable) {
+                written.run();
+            }
+            dispatch("disk", now -> listener.onWritten(now, durable));
+        });
+    }
+
     private final class Access implements ReplicaAccess {
         @Override
         public Replica replica() {
@@ -232,22 +276,7 @@
         @Override
         public void persist(long recordNumber, byte[] record) {
             world.cross(World.Crossing.DISK_WRITE, name());
-            writesInFlight.add(record);
-            long expectedEpoch = writeEpoch;
-            long doneAtMs =
-                    Math.max(world.nowMs(), diskIdleAtMs) + 1 + world.random().nextInt(MAX_WRITE_MS) + diskDelayMs;
-            diskIdleAtMs = doneAtMs;
-            world.schedule(doneAtMs - world.nowMs(), () -> {
-                if (writeEpoch != expectedEpoch) {
-                    return;
-                }
-                byte[] written = writesInFlight.remove(0);
-                boolean durable = !diskFull;
-                if (durable) {
-                    disk.add(written);
-                }
-                dispatch("disk", now -> replica.onPersisted(now, recordNumber, durable));
-            });
+            write(() -> disk.add(record), (now, durable) -> replica.onPersisted(now, recordNumber, durable));
         }
 
         @Override
--- a/src/test/java/quartzspan/registry/AcknowledgementTrackerTest.java
+++ b/src/test/java/quartzspan/registry/AcknowledgementTrackerTest.java
@@ -37,7 +37,9 @@
     }
 
     private long broadcast(int required) {
-        return gossip.broadcastUntilAcknowledged(0, List.of(DRAINING), required, () -> acknowledgedCount++);
+        // The broadcasting machine itself is one of the holders.
+        return gossip.broadcastUntilAcknowledged(
+                0, List.of(DRAINING), holders -> holders.size() > required, () -> acknowledgedCount++);
     }
 
     @Test
@@ -89,7 +91,8 @@
     void pendingAcknowledgementsAreBounded() {
         AcknowledgementTracker acknowledgements = new AcknowledgementTracker();
         for (int nonce = 1; nonce <= 3 * AcknowledgementTracker.MAX_PENDING; nonce++) {
-            acknowledgements.track(0, nonce, 1, CORES, List.of(DRAINING), () -> acknowledgedCount++);
+            acknowledgements.track(
+                    0, nonce, holders -> !holders.isEmpty(), CORES, List.of(DRAINING), () -> acknowledgedCount++);
         }
         assertEquals(AcknowledgementTracker.MAX_PENDING, acknowledgements.size());
         acknowledgements.onAcknowledgement(1, "c2:1");
@@ -119,6 +122,35 @@
         assertEquals(nonce, replies.get(0).message().nonce());
     }
 
+    /** Guards against an acknowledged departure that all processes forget when they end at once. */
+    @Test
+    void entryIsAcknowledgedOnlyOnceDurable() {
+        List<Sent> replies = new ArrayList<>();
+        List<Runnable> waiting = new ArrayList<>();
+        Gossip receiver =
+                new Gossip("c2:1", true, CORES, new Registry(), (to, message) -> replies.add(new Sent(to, message)));
+        receiver.acknowledgeOnceDurable((now, entries, onDurable) -> waiting.add(onDurable));
+        long nonce = broadcast(1);
+        sent.stream()
+                .filter(s -> s.to().equals("c2:1") && s.message().nonce() == nonce)
+                .forEach(s -> receiver.onGossip(5, "c1:1", s.message()));
+        assertTrue(replies.stream().noneMatch(s -> s.message().kind() == GossipMessage.Kind.REPLY));
+        waiting.forEach(Runnable::run);
+        assertEquals(
+                1, replies.stream().filter(s -> s.message().nonce() == nonce).count());
+    }
+
+    @Test
+    void broadcastingProcessCountsOnceItsOwnCopyIsDurable() {
+        List<Runnable> waiting = new ArrayList<>();
+        gossip.acknowledgeOnceDurable((now, entries, onDurable) -> waiting.add(onDurable));
+        long nonce = broadcast(1);
+        acknowledge("c2:1", nonce);
+        assertEquals(0, acknowledgedCount);
+        waiting.forEach(Runnable::run);
+        assertEquals(1, acknowledgedCount);
+    }
+
     @Test
     void processThatIsShuttingDownAcknowledgesNothing() {
         List<Sent> replies = new ArrayList<>();
--- a/src/test/java/quartzspan/registry/GossipTest.java
+++ b/src/test/java/quartzspan/registry/GossipTest.java
@@ -354,10 +354,12 @@
         core.onGossip(0, "p0:1", new Registry().query(0, 9, false));
         sent.clear();
         List<String> acknowledged = new ArrayList<>();
-        core.broadcastUntilAcknowledged(1_000, List.of(server("i", 1)), 1, () -> acknowledged.add("yes"));
+        core.broadcastUntilAcknowledged(
+                1_000, List.of(server("i", 1)), holders -> holders.size() > 1, () -> acknowledged.add("yes"));
         assertEquals(Set.of("p0:1", "c1:1", "c2:1", "c3:1"), Set.copyOf(receivers(Kind.UPDATE)));
         sent.clear();
-        proxy.broadcastUntilAcknowledged(1_000, List.of(server("j", 1)), 1, () -> acknowledged.add("yes"));
+        proxy.broadcastUntilAcknowledged(
+                1_000, List.of(server("j", 1)), holders -> holders.size() > 1, () -> acknowledged.add("yes"));
         assertTrue(receivers(Kind.UPDATE).containsAll(proxy.peers()));
         assertEquals(List.of(), acknowledged);
         sent.clear();
--- a/src/test/java/quartzspan/simulation/FleetFault.java
+++ b/src/test/java/quartzspan/simulation/FleetFault.java
@@ -38,7 +38,9 @@
         CUT_PROXY,
         CRASH_SERVER,
         LOSSY_NETWORK,
-        DOUBLED_MESSAGES
+        DOUBLED_MESSAGES,
+        /** All processes of the fleet are killed at once. */
+        KILL_ALL
     }
 
     @Override
--- a/src/test/java/quartzspan/simulation/FleetFaults.java
+++ b/src/test/java/quartzspan/simulation/FleetFaults.java
@@ -57,8 +57,11 @@
         world.trace(() -> "fault " + fault + " at " + crossingProcess);
         switch (fault.kind()) {
             case KILL_CORE -> killFor(core, fault.durationMs());
-            case KILL_ALL_CORES -> List.copyOf(fleet.cores().values())
-                    .forEach(each -> killFor(each, 100 + world.random().nextInt(MAX_RESTART_MS)));
+            case KILL_ALL_CORES -> List.copyOf(fleet.cores().values()).forEach(this::killForAShortTime);
+            case KILL_ALL -> {
+                List.copyOf(fleet.cores().values()).forEach(this::killForAShortTime);
+                fleet.proxies().forEach(this::killForAShortTime);
+            }
             case LOSE_DISK -> {
                 lastDiskLossMs = world.nowMs();
                 core.kill();
@@ -118,6 +121,10 @@
         return crossing != null ? crossing : cores.get(fault.target() % cores.size());
     }
 
+    private void killForAShortTime(SimulatedProcess process) {
+        killFor(process, 100 + world.random().nextInt(MAX_RESTART_MS));
+    }
+
     private void killFor(SimulatedProcess process, long durationMs) {
         process.kill();
         world.schedule(durationMs, () -> {
--- a/src/test/java/quartzspan/simulation/SimulatedServer.java
+++ b/src/test/java/quartzspan/simulation/SimulatedServer.java
@@ -26,6 +26,11 @@
     static final int NO_RESPONSE = 0;
     private static final int STATUS_OK = 200;
     private static final int AFTER_DRAIN_MS = 500;
+    /** Some servers serve on for long after they have deregistered. */
+    private static final int MAX_LONG_AFTER_DRAIN_MS = 9_000;
+    /** How late a heartbeat may come that was sent before the server began to leave. */
+    private static final int MAX_HEARTBEAT_DELAY_MS = 6_000;
+
     private static final int STATUS_ACCEPTED = 202;
     private static final int STATUS_CONFLICT = 409;
 
@@ -73,15 +78,13 @@
         if (ended) {
             return;
         }
-        String body = "{\"service\":\"s\",\"address\":\"" + address + "\",\"zone\":\"z\",\"state\":\""
-                + (draining ? "draining" : "ready") + "\",\"models\":[{\"name\":\"m\",\"version\":" + weights
-                + "}],\"call_count\":" + ++heartbeatCount + "}";
+        byte[] body = nextHeartbeat();
         AtomicBoolean acknowledged = new AtomicBoolean();
         boolean wasDraining = draining;
         callCore((core, now) -> core.heartbeat(
                 now,
                 id,
-                body.getBytes(StandardCharsets.UTF_8),
+                body,
                 () -> reply(() -> {
                     acknowledged.set(true);
                     if (wasDraining) {
@@ -100,6 +103,21 @@
         });
     }
 
+    private byte[] nextHeartbeat() {
+        String body = "{\"service\":\"s\",\"address\":\"" + address + "\",\"zone\":\"z\",\"state\":\""
+                + (draining ? "draining" : "ready") + "\",\"models\":[{\"name\":\"m\",\"version\":" + weights
+                + "}],\"call_count\":" + ++heartbeatCount + "}";
+        return body.getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** A heartbeat that is sent now, before the server leaves, and comes late. */
+    private void sendDelayedHeartbeat() {
+        byte[] body = nextHeartbeat();
+        world.schedule(
+                world.random().nextInt(MAX_HEARTBEAT_DELAY_MS),
+                () -> callCore((core, now) -> core.heartbeat(now, id, body, () -> {})));
+    }
+
     private interface CoreCall {
         void handle(SimulatedCore core, long now);
     }
@@ -111,6 +129,7 @@
 
     /** Begins to leave; {@code announced} or, if not, deregisters at once. */
     void drain(boolean announced) {
+        sendDelayedHeartbeat();
         draining = true;
         if (announced) {
             announce();
@@ -140,7 +159,9 @@
         if (!deregistered) {
             deregistered = true;
             drainAcknowledgedAtMs = Math.min(drainAcknowledgedAtMs, world.nowMs());
-            world.schedule(Bounds.DRAIN_TIMEOUT_MS + AFTER_DRAIN_MS, () -> ended = true);
+            boolean servesOnForLong = world.random().nextBoolean();
+            int afterDrainMs = servesOnForLong ? world.random().nextInt(MAX_LONG_AFTER_DRAIN_MS) : AFTER_DRAIN_MS;
+            world.schedule(Bounds.DRAIN_TIMEOUT_MS + afterDrainMs, () -> ended = true);
         }
     }
 
