HttpServer: the limits in force hold on connections that clients have kept

Cause: HttpServer copied the limits of its handler when a connection was accepted: those on bodies, idle and request time-outs into a field of the server, renewed by the next new connection only, that on heads into the decoder of the connection, for its life.

Why this works: the limits are asked at each use. RequestDecoder owns the input and a RequestParser (Netty's decoder, whose limit is fixed), which it replaces before the first byte of a request is decoded if the limit has changed; a request that waits behind another is covered, and one whose head has begun keeps its limit.

--- a/src/main/java/quartzspan/frontend/FrontendProxy.java
+++ b/src/main/java/quartzspan/frontend/FrontendProxy.java
@@ -59,11 +59,6 @@
     private static final double RETRY_AFTER_JITTER_RANGE = 0.4;
     /** The Retry-After time while the proxy has no fresh configuration. */
     private static final long NOT_READY_RETRY_AFTER_US = 300_000;
-    /** Margins by which the enforced limits of header size and idle time exceed those stated to clients. */
-    private static final int HEADER_MARGIN_BYTES = 1024;
-
-    private static final long CLIENT_IDLE_MARGIN_MS = 5_000;
-    private static final int MIN_REQUEST_TIMEOUT_MS = 10_000;
 
     private final Settings settings;
     private final Clock clock = new Clock();
@@ -275,14 +270,7 @@
 
     @Override
     public ConnectionLimits limits() {
-        Configuration.Limits limits = configuration().limits();
-        return new ConnectionLimits(
-                memory.maxConnections(),
-                limits.maxHeaderBytes() + HEADER_MARGIN_BYTES,
-                limits.maxBodyBytes(),
-                limits.idleTimeoutMs() + CLIENT_IDLE_MARGIN_MS,
-                Math.max(MIN_REQUEST_TIMEOUT_MS, limits.headerTimeoutMs()),
-                memory.bodyBytes());
+        return ClientLimits.of(memory, configuration().limits());
     }
 
     private Configuration configuration() {
--- a/src/main/java/quartzspan/http/HttpServer.java
+++ b/src/main/java/quartzspan/http/HttpServer.java
@@ -90,7 +90,6 @@
     private final RequestHandler handler;
     private final EventLoop loop;
     private final ChannelGroup clients;
-    private ConnectionLimits limits;
     /** Connections without a request in flight, longest idle first. */
     private final LinkedHashSet<ClientConnection> idleConnections = new LinkedHashSet<>();
     /** Connections with a partly received request, oldest request first. */
@@ -107,8 +106,7 @@
     public HttpServer(RequestHandler handler, EventLoop loop) {
         this.handler = handler;
         this.loop = loop;
-        this.limits = handler.limits();
-        this.requestMemory = new RequestMemory(limits.maxRequestMemoryBytes());
+        this.requestMemory = new RequestMemory(handler.limits().maxRequestMemoryBytes());
         this.clients = new DefaultChannelGroup(loop);
     }
 
@@ -136,8 +134,7 @@
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel ch) {
-                        limits = handler.limits();
-                        requestMemory.setLimit(limits.maxRequestMemoryBytes());
+                        requestMemory.setLimit(handler.limits().maxRequestMemoryBytes());
                         ClientConnection client = new ClientConnection(ch);
                         ch.pipeline().addLast(client.decoder, new HttpResponseEncoder(), client);
                         admit(ch, client);
@@ -153,7 +150,7 @@
      * pauses.
      */
     private void admit(SocketChannel ch, ClientConnection client) {
-        if (clients.size() >= limits.maxConnections() && !idleConnections.isEmpty()) {
+        if (clients.size() >= handler.limits().maxConnections() && !idleConnections.isEmpty()) {
             ClientConnection longestIdle = idleConnections.iterator().next();
             idleConnections.remove(longestIdle);
             longestIdle.channel.close();
@@ -164,7 +161,8 @@
     }
 
     private void updateAccepting(Channel client) {
-        client.parent().config().setAutoRead(clients.size() < limits.maxConnections() || !idleConnections.isEmpty());
+        boolean belowLimit = clients.size() < handler.limits().maxConnections();
+        client.parent().config().setAutoRead(belowLimit || !idleConnections.isEmpty());
     }
 
     private void sweep() {
@@ -174,7 +172,7 @@
     }
 
     private void closeTimedOutIdleConnections(long now) {
-        long timeoutNanos = TimeUnit.MILLISECONDS.toNanos(limits.idleTimeoutMs());
+        long timeoutNanos = TimeUnit.MILLISECONDS.toNanos(handler.limits().idleTimeoutMs());
         while (!idleConnections.isEmpty()) {
             ClientConnection longestIdle = idleConnections.iterator().next();
             if (now - longestIdle.idleSinceNanos <= timeoutNanos) {
@@ -185,7 +183,7 @@
     }
 
     private void timeOutSlowRequests(long now) {
-        long timeoutNanos = TimeUnit.MILLISECONDS.toNanos(limits.requestTimeoutMs());
+        long timeoutNanos = TimeUnit.MILLISECONDS.toNanos(handler.limits().requestTimeoutMs());
         while (!receivingConnections.isEmpty()) {
             ClientConnection longestReceiving = receivingConnections.iterator().next();
             if (now - longestReceiving.receivingSinceNanos <= timeoutNanos) {
@@ -258,7 +256,7 @@
     public final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> implements RequestDecoder.Flow {
         private final Channel channel;
         private final HeadReservation headReservation = new HeadReservation(requestMemory);
-        private final RequestDecoder decoder = new RequestDecoder(limits.maxHeaderBytes(), headReservation, this);
+        private final RequestDecoder decoder = new RequestDecoder(headReservation, this);
         /** The complete request that is handled next; null if none is. */
         private PendingRequest pending;
         /** The body of the request that is pending or being handled, bytes. */
@@ -312,6 +310,11 @@
             return discardingBody || !responding && pending == null;
         }
 
+        @Override
+        public int maxHeaderBytes() {
+            return handler.limits().maxHeaderBytes();
+        }
+
         @Override
         public long nowUs() {
             return handler.now();
@@ -384,7 +387,8 @@
             String expected = request.headers().get(HttpHeaderNames.EXPECT);
             if (!HttpFraming.isUnambiguous(request)) {
                 rejectInput(HttpResponseStatus.BAD_REQUEST);
-            } else if (HttpFraming.exceedsLength(request.headers(), limits.maxBodyBytes())) {
+            } else if (HttpFraming.exceedsLength(
+                    request.headers(), handler.limits().maxBodyBytes())) {
                 rejectInput(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             } else if (expected != null && !HttpHeaderValues.CONTINUE.contentEqualsIgnoreCase(expected)) {
                 rejectInput(HttpResponseStatus.EXPECTATION_FAILED);
@@ -402,7 +406,7 @@
         /** The length that a valid request declares, or the largest one allowed. */
         private int maxBodyBytes(HttpRequest request) {
             long declared = HttpFraming.parseNumber(request.headers().get(HttpHeaderNames.CONTENT_LENGTH));
-            return declared < 0 ? limits.maxBodyBytes() : (int) declared;
+            return declared < 0 ? handler.limits().maxBodyBytes() : (int) declared;
         }
 
         private void sendContinue() {
--- a/src/main/java/quartzspan/http/RequestDecoder.java
+++ b/src/main/java/quartzspan/http/RequestDecoder.java
@@ -3,25 +3,23 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.ByteToMessageDecoder;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultHttpRequest;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.util.AsciiString;
 import io.netty.util.ReferenceCountUtil;
 import java.util.List;
 
 /**
  * Decodes the requests of one client; an ambiguous message is a decoding failure, and so is a head for which there is no memory
  * (cause {@link RequestMemoryException}). One request is decoded at a time: what a client sends while an earlier request of it is
- * handled waits as the bytes that were received, which take far less memory than decoded messages. Confined to the event loop of
- * its channel, which owns it.
+ * handled waits as the bytes that were received, which take far less memory than decoded messages. The size limit of a head is the
+ * one in force when its decoding begins. Confined to the event loop of its channel, which owns it.
  */
-final class RequestDecoder extends HttpRequestDecoder {
+final class RequestDecoder extends ByteToMessageDecoder {
     /** The connection that the requests belong to. */
     interface Flow {
         /** Whether input that is received from now on is to be dropped. */
@@ -33,6 +31,9 @@
         /** Whether the next message may be decoded; else the input waits for {@link #decodeWaitingInput}. */
         boolean mayDecode();
 
+        /** The largest head of a request, bytes, at present. */
+        int maxHeaderBytes();
+
         /** The current time, microseconds. */
         long nowUs();
 
@@ -44,17 +45,18 @@
     private final Flow flow;
     private final InputArrivals arrivals = new InputArrivals();
     private ChannelHandlerContext context;
+    private RequestParser parser;
     /** Whether the next input belongs to the head of a request. */
     private boolean withinHead = true;
-    /** Header lines decoded since the last reservation. */
-    private int newLines;
+    /** Whether a part of a request is decoded already; else the next input is the first of its head. */
+    private boolean withinRequest;
     /** Set once a head was given up: what follows it can't be decoded. */
     private boolean failed;
 
-    RequestDecoder(int maxHeaderBytes, HeadReservation headReservation, Flow flow) {
-        super(HttpFraming.strictConfig(maxHeaderBytes).setTrailersFactory(DiscardedTrailers.FACTORY));
+    RequestDecoder(HeadReservation headReservation, Flow flow) {
         this.headReservation = headReservation;
         this.flow = flow;
+        this.parser = new RequestParser(flow.maxHeaderBytes());
     }
 
     @Override
@@ -110,19 +112,30 @@
         if (!flow.mayDecode()) {
             return;
         }
+        applyHeaderLimit();
         int start = in.readerIndex();
-        super.decode(ctx, in, out);
+        parser.parse(ctx, in, out);
         onDecoded(in.readerIndex() - start, out);
     }
 
+    /** Clients keep their connections while the limit changes. The parser's limit is fixed, so a new request gets a new one. */
+    private void applyHeaderLimit() {
+        if (!withinRequest && parser.maxHeaderBytes() != flow.maxHeaderBytes()) {
+            parser.release();
+            parser = new RequestParser(flow.maxHeaderBytes());
+        }
+    }
+
     private void onDecoded(int bytes, List<Object> out) {
         arrivals.onDecoded(bytes);
+        int newLines = parser.takeNewLines();
         if (withinHead && !headReservation.tryGrow(bytes, newLines)) {
             failForMemory(out);
         }
-        newLines = 0;
+        withinRequest |= bytes > 0;
         if (!out.isEmpty()) {
             withinHead = out.get(out.size() - 1) instanceof LastHttpContent;
+            withinRequest = !withinHead;
         }
     }
 
@@ -136,14 +149,7 @@
     }
 
     @Override
-    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-        throw HttpFraming.twoLengths();
-    }
-
-    @Override
-    protected AsciiString splitHeaderName(byte[] line, int start, int length) {
-        newLines++;
-        HttpFraming.requireColon(line, start + length);
-        return super.splitHeaderName(line, start, length);
+    protected void handlerRemoved0(ChannelHandlerContext ctx) {
+        parser.release();
     }
 }
--- a/src/main/java/quartzspan/http/RequestHandler.java
+++ b/src/main/java/quartzspan/http/RequestHandler.java
@@ -10,6 +10,6 @@
     /** Handles a complete request, which must be answered exactly once, immediately or later. */
     void onRequest(HttpServer.ClientConnection client, HttpRequest request, byte[] body, long receivedAtUs);
 
-    /** The limits on client connections; read again for each new connection. */
+    /** The limits on clients at present; asked wherever a limit is enforced, since clients keep connections while limits change. */
     ConnectionLimits limits();
 }
