--- a/src/test/java/quartzspan/http/HttpServerMemoryTest.java
+++ b/src/test/java/quartzspan/http/HttpServerMemoryTest.java
@@ -4,19 +4,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.Unpooled;
-import io.netty.channel.EventLoop;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.lang.ref.WeakReference;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -39,12 +32,9 @@
     private static final String HOLD = "/hold";
     private static final String STREAM = "/stream";
 
-    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final EventLoop loop = group.next();
     private final BlockingQueue<HttpServer.ClientConnection> held = new LinkedBlockingQueue<>();
-    private final List<Client> clients = new ArrayList<>();
     private final AtomicInteger notifiedBytes = new AtomicInteger();
-    private HttpServer server;
+    private RunningHttpServer server;
 
     /** The bodies of all requests that were handled, as long as something else refers to them. */
     private final List<WeakReference<byte[]>> bodies = new CopyOnWriteArrayList<>();
@@ -87,24 +77,16 @@
 
     @BeforeEach
     void start() throws Exception {
-        server = loop.submit(() -> new HttpServer(new Handler(), loop)).get();
-        loop.submit(() -> server.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)))
-                .get()
-                .await();
+        server = new RunningHttpServer(loop -> new Handler());
     }
 
     @AfterEach
     void stop() throws IOException {
-        for (Client client : clients) {
-            client.close();
-        }
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        server.close();
     }
 
     private Client client() throws IOException {
-        Client client = new Client(server.port());
-        clients.add(client);
-        return client;
+        return server.client();
     }
 
     private static String head(String path, int bodyBytes) {
@@ -116,7 +98,7 @@
     }
 
     private long reservedBytes() throws Exception {
-        return loop.submit(() -> server.requestMemory().reservedBytes()).get();
+        return server.call(() -> server.server().requestMemory().reservedBytes());
     }
 
     private HttpServer.ClientConnection nextHeld() throws InterruptedException {
@@ -166,7 +148,7 @@
         assertEquals(BODY_BYTES, reservedBytes(), "of the rejected body nothing is kept");
         assertEquals(
                 200, post(second, "/", RequestMemory.SHORT_BODY_BYTES).read().status(), "a short body fits");
-        loop.submit(() -> first.answer(HttpResponseStatus.OK)).get();
+        server.run(() -> first.answer(HttpResponseStatus.OK));
         awaitReservedBytes(0);
         assertEquals(200, post(second, "/", BODY_BYTES).read().status());
     }
@@ -206,9 +188,7 @@
             assertTrue(System.nanoTime() < endNanos, reservedBytes() + " bytes are reserved");
         }
         partial.close();
-        for (Client client : clients) {
-            client.close();
-        }
+        server.closeClients();
         awaitReservedBytes(0);
     }
 
@@ -223,14 +203,14 @@
             if (i % 3 != 0) {
                 continue;
             }
-            int status = clients.get(i).read().status();
+            int status = server.clients().get(i).read().status();
             assertTrue(status == 200 || status == 503, "client " + i + ": " + status);
             rejected += status == 503 ? 1 : 0;
             assertTrue(reservedBytes() <= MEMORY_BYTES);
         }
         for (HttpServer.ClientConnection client; (client = held.poll()) != null; ) {
             HttpServer.ClientConnection next = client;
-            loop.submit(() -> next.answer(HttpResponseStatus.OK)).get();
+            server.run(() -> next.answer(HttpResponseStatus.OK));
         }
         awaitReservedBytes(0);
         assertTrue(rejected > 0, "the memory was never scarce");
--- a/src/test/java/quartzspan/http/KeptConnectionLimitsTest.java
+++ b/src/test/java/quartzspan/http/KeptConnectionLimitsTest.java
@@ -3,20 +3,11 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.netty.channel.EventLoop;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -37,12 +28,9 @@
     private static final ConnectionLimits WIDE =
             new ConnectionLimits(8, 65_536, 1_000_000, LONG_TIMEOUT_MS, LONG_TIMEOUT_MS);
 
-    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final EventLoop loop = group.next();
     private final BlockingQueue<HttpServer.ClientConnection> held = new LinkedBlockingQueue<>();
-    private final List<Client> clients = new ArrayList<>();
     private volatile ConnectionLimits limits = NARROW;
-    private HttpServer server;
+    private RunningHttpServer server;
 
     private final class Handler implements RequestHandler {
         @Override
@@ -67,18 +55,12 @@
 
     @BeforeEach
     void start() throws Exception {
-        server = loop.submit(() -> new HttpServer(new Handler(), loop)).get();
-        loop.submit(() -> server.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)))
-                .get()
-                .await();
+        server = new RunningHttpServer(loop -> new Handler());
     }
 
     @AfterEach
     void stop() throws IOException {
-        for (Client client : clients) {
-            client.close();
-        }
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        server.close();
     }
 
     private static String request(String path, int headerBytes, int bodyBytes) {
@@ -93,8 +75,7 @@
 
     /** A client whose connection has served a request. */
     private Client keptConnection() throws IOException {
-        Client client = new Client(server.port());
-        clients.add(client);
+        Client client = server.client();
         assertEquals(200, client.write(request("/a", 10, 10)).read().status());
         return client;
     }
@@ -140,7 +121,7 @@
         kept.write(request(HOLD, 10, 10) + request("/a", LONG_HEADER_BYTES, LONG_BODY_BYTES));
         HttpServer.ClientConnection first = LoopbackPeers.next(held, "the first request");
         limits = WIDE;
-        loop.submit(() -> first.answer(HttpResponseStatus.NO_CONTENT)).get();
+        server.run(() -> first.answer(HttpResponseStatus.NO_CONTENT));
         assertEquals(204, kept.read().status());
         assertEquals(200, kept.read().status());
         assertEquals(200, kept.write(request("/a", 10, 10)).read().status(), "the connection stays usable");
