--- a/src/test/java/quartzspan/simulation/FleetFaults.java
+++ b/src/test/java/quartzspan/simulation/FleetFaults.java
@@ -58,10 +58,7 @@
         switch (fault.kind()) {
             case KILL_CORE -> killFor(core, fault.durationMs());
             case KILL_ALL_CORES -> List.copyOf(fleet.cores().values()).forEach(this::killForAShortTime);
-            case KILL_ALL -> {
-                List.copyOf(fleet.cores().values()).forEach(this::killForAShortTime);
-                fleet.proxies().forEach(this::killForAShortTime);
-            }
+            case KILL_ALL -> killAll();
             case LOSE_DISK -> {
                 lastDiskLossMs = world.nowMs();
                 core.kill();
@@ -121,6 +118,11 @@
         return crossing != null ? crossing : cores.get(fault.target() % cores.size());
     }
 
+    private void killAll() {
+        List.copyOf(fleet.cores().values()).forEach(this::killForAShortTime);
+        fleet.proxies().forEach(this::killForAShortTime);
+    }
+
     private void killForAShortTime(SimulatedProcess process) {
         killFor(process, 100 + world.random().nextInt(MAX_RESTART_MS));
     }
