Programs share how they listen, and what follows from their settings

ControlPlane and FrontendProxy each had the internal addresses of the seeds, host:port, the grace period in milliseconds and the check of bound listeners. They are in Settings and transport.Listening now. The error ADDRESS_TAKEN names the address; the log line on a proxy's memory names requests, not only their bodies.

--- a/src/main/java/quartzspan/common/Settings.java
+++ b/src/main/java/quartzspan/common/Settings.java
@@ -65,7 +65,12 @@
             int transitMs,
             int ackTimeoutMs,
             int leaseMs,
-            int versionApplyMs) {}
+            int versionApplyMs) {
+        /** How long a process may run on after SIGTERM, milliseconds. */
+        public long gracePeriodMs() {
+            return (long) (gracePeriodS * 1000);
+        }
+    }
 
     /** Reads the file that {@link #ENVIRONMENT_VARIABLE} names. */
     public static Settings load() {
@@ -152,6 +157,21 @@
         return new InetSocketAddress(ip, internalPort);
     }
 
+    /**
+     * The internal addresses of the seeds, as host:port. The settings list their control_plane addresses; the internal port is the
+     * same on all machines.
+     */
+    public List<String> internalSeeds() {
+        return seeds.stream()
+                .map(seed -> seed.getHostString() + ':' + internalPort)
+                .toList();
+    }
+
+    /** An address as host:port, without a name look-up. */
+    public static String hostAndPort(InetSocketAddress address) {
+        return address.getHostString() + ':' + address.getPort();
+    }
+
     /**
      * The directory of the stored state.
      *
--- a/src/main/java/quartzspan/controlplane/ControlPlane.java
+++ b/src/main/java/quartzspan/controlplane/ControlPlane.java
@@ -1,6 +1,5 @@
 package quartzspan.controlplane;
 
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -29,6 +28,7 @@
 import quartzspan.replication.ControlState;
 import quartzspan.replication.Replica;
 import quartzspan.replication.ReplicaMessage;
+import quartzspan.transport.Listening;
 import quartzspan.transport.MessageCodec.Hello;
 import quartzspan.transport.TcpTransport;
 
@@ -82,11 +82,11 @@
         this.settings = settings;
         this.group = group;
         this.loop = loop;
-        this.self = hostAndPort(settings.internalAddress());
+        this.self = Settings.hostAndPort(settings.internalAddress());
         this.connectionLimits = connectionLimits(
                 settings.fileDescriptors(), Runtime.getRuntime().maxMemory());
-        List<String> seeds = internalSeeds(settings);
-        String control = hostAndPort(settings.listenAddress("control_plane"));
+        List<String> seeds = settings.internalSeeds();
+        String control = Settings.hostAndPort(settings.listenAddress("control_plane"));
         this.transport = new TcpTransport(
                 loop,
                 new Hello(true, self, control, settings.zone()),
@@ -113,7 +113,8 @@
         this.httpServer = new HttpServer(this, loop);
         this.prefixCacheIndexer =
                 new PrefixCacheIndexer(this::nowMs, self, node.registry(), node.gossip(), transport, serverClient);
-        this.shutdown = new GracefulShutdown(new ReplicaHandover(), gracePeriodMs());
+        this.shutdown =
+                new GracefulShutdown(new ReplicaHandover(), settings.bounds().gracePeriodMs());
         this.router = createRouter();
     }
 
@@ -142,24 +143,6 @@
                 .addRoute("GET", "/quartzspan/status", this::status);
     }
 
-    /**
-     * Internal addresses of the seeds. The settings list their control_plane addresses; the internal port is the same on all
-     * machines.
-     */
-    private static List<String> internalSeeds(Settings settings) {
-        return settings.seeds().stream()
-                .map(seed -> seed.getHostString() + ':' + settings.internalPort())
-                .toList();
-    }
-
-    private static String hostAndPort(InetSocketAddress address) {
-        return address.getHostString() + ':' + address.getPort();
-    }
-
-    private long gracePeriodMs() {
-        return (long) (settings.bounds().gracePeriodS() * 1000);
-    }
-
     /**
      * Starts a core machine; returns once it listens.
      *
@@ -171,18 +154,8 @@
         ControlPlane started =
                 loop.submit(() -> new ControlPlane(settings, group, loop)).get();
         InetSocketAddress control = settings.listenAddress("control_plane");
-        ChannelFuture internal =
-                started.transport.listen(settings.internalAddress()).await();
-        ChannelFuture external =
-                loop.submit(() -> started.httpServer.listen(control)).get().await();
-        for (ChannelFuture bound : List.of(internal, external)) {
-            if (!bound.isSuccess()) {
-                throw new FleetException(
-                        FleetException.Code.ADDRESS_TAKEN,
-                        "can't listen: " + bound.cause().getMessage(),
-                        "end the process that uses the address");
-            }
-        }
+        Listening.await(started.transport.listen(settings.internalAddress()), settings.internalAddress());
+        Listening.await(loop.submit(() -> started.httpServer.listen(control)).get(), control);
         loop.submit(started::startPeriodicTasks).get();
         LOG.info("core machine {} listens at {}", settings.nodeName(), control);
         return started;
@@ -190,7 +163,7 @@
 
     private void startPeriodicTasks() {
         connectionPool.startIdleEviction();
-        String control = hostAndPort(settings.listenAddress("control_plane"));
+        String control = Settings.hostAndPort(settings.listenAddress("control_plane"));
         node.register(nowMs(), new CoreMachine(self, control, settings.zone()));
         loop.scheduleWithFixedDelay(
                 new PeriodicTask("control plane tick", this::tick), 1, TICK_INTERVAL_MS, TimeUnit.MILLISECONDS);
@@ -203,7 +176,7 @@
     public void stop() {
         loop.execute(() -> shutdown.begin(nowMs()));
         try {
-            stopped.await(gracePeriodMs(), TimeUnit.MILLISECONDS);
+            stopped.await(settings.bounds().gracePeriodMs(), TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/src/main/java/quartzspan/frontend/FrontendProxy.java
+++ b/src/main/java/quartzspan/frontend/FrontendProxy.java
@@ -1,6 +1,5 @@
 package quartzspan.frontend;
 
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -16,7 +15,6 @@
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import quartzspan.common.FleetException;
 import quartzspan.common.PeriodicTask;
 import quartzspan.common.Settings;
 import quartzspan.configuration.Configuration;
@@ -31,6 +29,7 @@
 import quartzspan.prefixcache.PrefixCacheIndex;
 import quartzspan.prefixcache.PrefixCacheUpdate;
 import quartzspan.registry.GossipMessage;
+import quartzspan.transport.Listening;
 import quartzspan.transport.MessageCodec.Hello;
 import quartzspan.transport.TcpTransport;
 
@@ -89,8 +88,8 @@
                 Math.max(ProxyMemory.MIN_CONNECTIONS, (settings.fileDescriptors() - RESERVED_DESCRIPTORS) / 2));
         this.group = group;
         this.loop = loop;
-        this.shutdown = new ShutdownSchedule(gracePeriodMs(settings), nowMs());
-        String internalAddress = hostAndPort(settings.internalAddress());
+        this.shutdown = new ShutdownSchedule(settings.bounds().gracePeriodMs(), nowMs());
+        String internalAddress = Settings.hostAndPort(settings.internalAddress());
         int maxServerConnections =
                 Math.max(ProxyMemory.MIN_CONNECTIONS, (settings.fileDescriptors() - RESERVED_DESCRIPTORS) / 3);
         this.connectionPool =
@@ -114,20 +113,9 @@
         this.readinessServer = new HttpServer(new ReadinessHandler(clock, this::isReady), loop);
     }
 
-    /** Internal addresses of the core machines to contact first; all machines use the same internal ports. */
-    private static List<String> seeds(Settings settings) {
-        return settings.seeds().stream()
-                .map(seed -> seed.getHostString() + ':' + settings.internalPort())
-                .toList();
-    }
-
-    private static String hostAndPort(InetSocketAddress address) {
-        return address.getHostString() + ':' + address.getPort();
-    }
-
     /** Starts a proxy and returns once it listens. It becomes ready when it has a fresh configuration. */
     public static FrontendProxy start(Settings settings) throws Exception {
-        return start(settings, seeds(settings));
+        return start(settings, settings.internalSeeds());
     }
 
     /** Starts a proxy that contacts these internal addresses of core machines instead of the settings' seed nodes. */
@@ -140,19 +128,9 @@
         EventLoop loop = group.next();
         FrontendProxy proxy = loop.submit(() -> new FrontendProxy(settings, seeds, group, loop))
                 .get();
-        for (ChannelFuture bound : List.of(
-                proxy.transport.listen(settings.internalAddress()),
-                loop.submit(() -> proxy.readinessServer.listen(settings.listenAddress("readiness")))
-                        .get(),
-                loop.submit(() -> proxy.httpServer.listen(settings.listenAddress("frontend")))
-                        .get())) {
-            if (!bound.await().isSuccess()) {
-                throw new FleetException(
-                        FleetException.Code.ADDRESS_TAKEN,
-                        "can't listen: " + bound.cause().getMessage(),
-                        "end the process that uses the address");
-            }
-        }
+        Listening.await(proxy.transport.listen(settings.internalAddress()), settings.internalAddress());
+        listen(loop, proxy.readinessServer, settings.listenAddress("readiness"));
+        listen(loop, proxy.httpServer, settings.listenAddress("frontend"));
         loop.submit(() -> {
                     proxy.connectionPool.startIdleEviction();
                     loop.scheduleWithFixedDelay(
@@ -164,15 +142,19 @@
                 .get();
         LOG.info("proxy {} listens at {}", settings.nodeName(), settings.listenAddress("frontend"));
         LOG.info(
-                "at most {} client connections, {} bytes for the bodies of requests",
+                "at most {} client connections, {} bytes for requests",
                 proxy.memory.maxConnections(),
                 proxy.memory.bodyBytes());
         return proxy;
     }
 
+    private static void listen(EventLoop loop, HttpServer server, InetSocketAddress address) throws Exception {
+        Listening.await(loop.submit(() -> server.listen(address)).get(), address);
+    }
+
     /** Applies changed settings at run time: only the seed nodes are updated. */
     void reload(Settings changed) {
-        loop.execute(() -> fleet.setSeeds(seeds(changed)));
+        loop.execute(() -> fleet.setSeeds(changed.internalSeeds()));
     }
 
     /**
@@ -192,7 +174,7 @@
                     TimeUnit.MILLISECONDS);
         });
         try {
-            shutdownComplete.await(gracePeriodMs(settings), TimeUnit.MILLISECONDS);
+            shutdownComplete.await(settings.bounds().gracePeriodMs(), TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
@@ -214,10 +196,6 @@
         }
     }
 
-    private static long gracePeriodMs(Settings settings) {
-        return (long) (settings.bounds().gracePeriodS() * 1000);
-    }
-
     /** Stops immediately, without waiting for requests in flight. */
     public void stop() {
         group.shutdownGracefully(0, EVENT_LOOP_SHUTDOWN_TIMEOUT_MS, TimeUnit.MILLISECONDS)
