A server whose heartbeat is refused is listed as LOST, not left out

What callers saw: since departures are kept on disk a core machine that has started refuses the heartbeat of a server it does not know, and kept nothing of it. Its status then lacked the server, and after a deregistration it had an entry without service and address.

Cause: the refusal came before the registry.

The refused heartbeat leaves an entry LOST with seq -1, which each other entry supersedes: no proxy takes a server out because of it, and no departure is undone. The server is not ready until all departures are known, as before.

--- a/src/main/java/quartzspan/controlplane/HeartbeatHandler.java
+++ b/src/main/java/quartzspan/controlplane/HeartbeatHandler.java
@@ -24,6 +24,8 @@
     static final int MAX_SERVERS = 16_384;
     /** The longest id, service, address, zone or model of a server, characters. */
     static final int MAX_TEXT_LENGTH = 256;
+    /** Below the seq of every entry that a heartbeat makes. */
+    private static final long LOWEST_SEQ = -1;
 
     private final Registry registry;
     private final HeartbeatTracker heartbeats;
@@ -58,15 +60,16 @@
         checkRoom(id);
         JsonObject json = JsonFields.parse(body);
         boolean draining = json.getString("state", "ready").equals("draining");
+        Server reported = parseServer(now, id, json);
         if (!draining) {
-            checkMayBeReady(now, id);
+            checkMayBeReady(now, reported);
         }
         RegistryEntry update = heartbeats.onServerHeartbeat(
                 now,
                 id,
                 JsonFields.wholeNumber(json, "call_count", 0),
                 draining ? RegistryEntry.State.DRAINING : RegistryEntry.State.READY,
-                parseServer(now, id, json));
+                reported);
         if (draining) {
             return update != null ? update : registry.entry(RegistryEntry.Subject.SERVER, id);
         }
@@ -91,12 +94,15 @@
 
     /**
      * Rejects a server that this machine does not know as ready while it may lack departures: the heartbeat may be a delayed one,
-     * sent before the server has left.
+     * sent before the server has left. Operators see an unknown server as {@code LOST}, in an entry that any other one supersedes.
      */
-    private void checkMayBeReady(long now, String id) {
-        RegistryEntry known = registry.entry(RegistryEntry.Subject.SERVER, id);
+    private void checkMayBeReady(long now, Server reported) {
+        RegistryEntry known = registry.entry(RegistryEntry.Subject.SERVER, reported.id());
         boolean becomesReady = known == null || known.state() == RegistryEntry.State.LOST;
         if (becomesReady && !knowsDepartures.test(now)) {
+            if (known == null) {
+                registry.merge(now, lostEntry(reported));
+            }
             throw new FleetException(
                     FleetException.Code.NOT_PRIMARY,
                     "this core machine has started and does not know yet which servers have left",
@@ -104,6 +110,15 @@
         }
     }
 
+    private static RegistryEntry lostEntry(Server reported) {
+        return new RegistryEntry(
+                RegistryEntry.Subject.SERVER,
+                reported.id(),
+                LOWEST_SEQ,
+                RegistryEntry.State.LOST,
+                reported.encodeWith(reported.weightsVersion(), reported.loadingVersion()));
+    }
+
     /** Rejects a server that would be one too many: its entry would be kept by every process of the fleet. */
     private void checkRoom(String id) {
         if (id.length() > MAX_TEXT_LENGTH) {
