API keys outside of ASCII are found in UTF-8

What callers saw: 401 for a key outside of ISO 8859-1, whatever bytes they sent.

Cause: the same as that of the tenants' names, on a related path. A header's characters are bytes, a key in the configuration is text, and RequestClassifier compared the two. HeaderText.textOf reads a value as UTF-8; a key that no tenant has so is looked up as it came, so clients that send ISO 8859-1 go on.

--- a/src/main/java/quartzspan/configuration/HeaderText.java
+++ b/src/main/java/quartzspan/configuration/HeaderText.java
@@ -1,5 +1,7 @@
 package quartzspan.configuration;
 
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 
 /**
@@ -28,9 +30,26 @@
         return codePoint >= ' ' && codePoint != DELETE && !unpairedSurrogate;
     }
 
+    /** The text of a header's value in UTF-8; the value itself if its bytes are not UTF-8. */
+    public static String textOf(String value) {
+        if (isAscii(value)) {
+            return value;
+        }
+        try {
+            ByteBuffer bytes = ByteBuffer.wrap(value.getBytes(StandardCharsets.ISO_8859_1));
+            return StandardCharsets.UTF_8.newDecoder().decode(bytes).toString();
+        } catch (CharacterCodingException notUtf8) {
+            return value;
+        }
+    }
+
+    private static boolean isAscii(String text) {
+        return text.chars().allMatch(character -> character < FIRST_NON_ASCII);
+    }
+
     /** The value of a header with the text: its UTF-8 bytes, each as one character. */
     public static String valueOf(String text) {
-        if (text.chars().allMatch(character -> character < FIRST_NON_ASCII)) {
+        if (isAscii(text)) {
             return text;
         }
         return new String(text.getBytes(StandardCharsets.UTF_8), StandardCharsets.ISO_8859_1);
--- a/src/main/java/quartzspan/frontend/RequestClassifier.java
+++ b/src/main/java/quartzspan/frontend/RequestClassifier.java
@@ -46,13 +46,18 @@
         return configuration.route(host, request.uri().split("\\?", 2)[0]);
     }
 
-    /** The tenant of a request's API key; null if there is none, or the configuration has no tenants. */
+    /**
+     * The tenant of a request's API key; null if there is none, or the configuration has no tenants. The key is sent in UTF-8, as the
+     * configuration has it; a key in ISO 8859-1 is found too, unless its bytes are another one in UTF-8.
+     */
     static Tenant tenant(Configuration configuration, HttpRequest request) {
         String authorization = request.headers().get(HttpHeaderNames.AUTHORIZATION, "");
-        return configuration.hasTenants() && authorization.startsWith(API_KEY_SCHEME)
-                ? configuration.tenant(
-                        authorization.substring(API_KEY_SCHEME.length()).trim())
-                : null;
+        if (!configuration.hasTenants() || !authorization.startsWith(API_KEY_SCHEME)) {
+            return null;
+        }
+        String key = authorization.substring(API_KEY_SCHEME.length()).trim();
+        Tenant tenant = configuration.tenant(HeaderText.textOf(key));
+        return tenant == null ? configuration.tenant(key) : tenant;
     }
 
     /** Whether servers can be told the tenant's name. Configurations accepted by an earlier version may have other names. */
--- a/src/test/java/quartzspan/configuration/HeaderTextTest.java
+++ b/src/test/java/quartzspan/configuration/HeaderTextTest.java
@@ -23,6 +23,14 @@
         }
     }
 
+    @Test
+    void valueThatIsNotUtf8IsItsOwnText() {
+        for (String text : List.of("acme", "Müller", "한진관세")) {
+            assertEquals(text, HeaderText.textOf(HeaderText.valueOf(text)));
+        }
+        assertEquals("M\u00fcller", HeaderText.textOf("M\u00fcller"), "a single byte fc");
+    }
+
     @Test
     void textThatReadsAsAnotherOnesUtf8BytesHasAnotherValue() {
         assertNotEquals(HeaderText.valueOf("ü"), HeaderText.valueOf("Ã¼"));
--- a/src/test/java/quartzspan/frontend/TenantNameTest.java
+++ b/src/test/java/quartzspan/frontend/TenantNameTest.java
@@ -30,7 +30,7 @@
 
     private String tenantToldFor(Server server, String key) throws Exception {
         String headers = "Authorization: Token " + key + "\r\n";
-        Message response = client().write(request("POST", "once", key, headers, DEADLINE_MS))
+        Message response = client().write(request("POST", "once", "attempt", headers, DEADLINE_MS))
                 .read();
         assertEquals("ran", response.text());
         String value = nextRequest(server, key).message().header("x-tenant");
